--- a/admin/admin_routes.cc
+++ b/admin/admin_routes.cc
@@ -25,10 +25,7 @@
 }
 
 AdminReply Readiness(AdminSource& source, const std::string& /*segment*/) {
-  if (source.Ready()) {
-    return AdminReply{.content_type = kPlainType, .body = "ready\n"};
-  }
-  return AdminReply{kStatusUnavailable, kPlainType, "not ready\n"};
+  return ReadinessReply(source);
 }
 
 AdminReply Metrics(AdminSource& source, const std::string& /*segment*/) {
@@ -106,6 +103,13 @@
 
 }  // namespace
 
+AdminReply ReadinessReply(const AdminSource& source) {
+  if (source.Ready()) {
+    return AdminReply{.content_type = kPlainType, .body = "ready\n"};
+  }
+  return AdminReply{kStatusUnavailable, kPlainType, "not ready\n"};
+}
+
 std::span<const AdminRoute> AdminRoutes() {
   return kRoutes;
 }
--- a/admin/admin_routes.h
+++ b/admin/admin_routes.h
@@ -38,6 +38,9 @@
 // Every route there is.
 std::span<const AdminRoute> AdminRoutes();
 
+// 200 where the host takes calls, else 503.
+AdminReply ReadinessReply(const AdminSource& source);
+
 // The answer that carries an error.
 AdminReply ErrorReply(int status, const Error& error);
 
--- a/admin/admin_server.cc
+++ b/admin/admin_server.cc
@@ -103,7 +103,16 @@
 
 void AdminServer::RegisterRoutes() {
   httplib::Server& server = backend_->server;
+  if (!options_.ready_path.empty()) {
+    server.Get(options_.ready_path,
+               [this](const httplib::Request& /*req*/, httplib::Response& res) {
+                 Send(ReadinessReply(source_), res);
+               });
+  }
   for (const AdminRoute& route : AdminRoutes()) {
+    if (options_.public_only && route.access == AdminAccess::kToken) {
+      continue;
+    }
     const auto handler = [this, &route](const httplib::Request& req,
                                         httplib::Response& res) {
       if (route.access == AdminAccess::kToken &&
--- a/admin/admin_server.h
+++ b/admin/admin_server.h
@@ -20,6 +20,10 @@
   std::string token;
   // Where the token is read from instead, when the settings are loaded.
   std::string token_file;
+  // Serves health, readiness and metrics and nothing that needs the token.
+  bool public_only = false;
+  // Where readiness is served besides its usual path; empty for nowhere.
+  std::string ready_path;
 };
 
 // Whether the token is the right one, in a time that tells nothing about how
--- /dev/null
+++ b/contract/route.cc
@@ -0,0 +1,96 @@
+#include "contract/route.h"
+
+#include <algorithm>
+#include <set>
+
+namespace damasktack {
+
+namespace {
+
+bool IsService(const RouteBook& book, const ServiceId& id) {
+  return std::ranges::any_of(
+      book.services, [&](const ServiceTraits& it) { return it.id == id; });
+}
+
+leaf::result<void> CheckTargets(const RouteBook& book,
+                                const Route& route,
+                                const std::string& where) {
+  std::int64_t sum = 0;
+  for (const RouteTarget& it : route.targets) {
+    if (!IsService(book, it.service)) {
+      return Fail(ErrorKind::kUnknownReference, where,
+                  "service " + it.service.text(),
+                  "publish the service together with the route");
+    }
+    if (it.weight < 0) {
+      return Fail(ErrorKind::kOutOfRange, where,
+                  "weight " + std::to_string(it.weight),
+                  "give each target a weight of 0 or more");
+    }
+    sum += it.weight;
+  }
+  if (sum <= 0) {
+    return Fail(ErrorKind::kOutOfRange, where, "no target with a weight",
+                "name at least one service with a weight above 0");
+  }
+  return {};
+}
+
+leaf::result<void> CheckRoute(const RouteBook& book, const Route& route) {
+  const std::string where = "route " + route.contract.customer.text();
+  if (route.host.empty()) {
+    return Fail(ErrorKind::kMissingKey, where, "no host",
+                "name the host that the route serves");
+  }
+  if (!route.prefix.starts_with('/') || !route.prefix.ends_with('/')) {
+    return Fail(ErrorKind::kOutOfRange, where, "prefix " + route.prefix,
+                "begin and end the prefix with /");
+  }
+  if (route.timeout <= Duration::zero()) {
+    return Fail(ErrorKind::kOutOfRange, where, "no timeout",
+                "give the route a timeout above 0");
+  }
+  if (route.most_sends < 1) {
+    return Fail(ErrorKind::kOutOfRange, where,
+                std::to_string(route.most_sends) + " sends",
+                "allow at least one send");
+  }
+  return CheckTargets(book, route, where);
+}
+
+bool ShareService(const Route& one, const Route& other) {
+  return std::ranges::any_of(one.targets, [&](const RouteTarget& it) {
+    return std::ranges::any_of(other.targets, [&](const RouteTarget& mine) {
+      return mine.service == it.service;
+    });
+  });
+}
+
+}  // namespace
+
+leaf::result<void> CheckRouteBook(const RouteBook& book) {
+  if (book.version == 0) {
+    return Fail(ErrorKind::kMissingKey, "route book", "no version",
+                "publish a version above 0");
+  }
+  for (const Route& it : book.routes) {
+    BOOST_LEAF_CHECK(CheckRoute(book, it));
+  }
+  return {};
+}
+
+void RankByService(RouteBook& book, const std::vector<std::int64_t>& ranks) {
+  for (std::size_t n = 0; n < book.routes.size(); ++n) {
+    std::set<std::int64_t> before;
+    for (std::size_t other = 0; other < book.routes.size(); ++other) {
+      if (ranks[other] < ranks[n] &&
+          ShareService(book.routes[n], book.routes[other])) {
+        before.insert(ranks[other]);
+      }
+    }
+    const std::size_t place = std::min(before.size(), kUrgencyCount - 1);
+    book.routes[n].urgency = static_cast<Urgency>(place);
+  }
+}
+
+}  // namespace damasktack
--- a/contract/service.h
+++ b/contract/service.h
@@ -38,6 +38,8 @@
   // Set where endpoints repeat the header Damasktack-Call in their answers;
   // an answer that names another call, or none, is then refused.
   bool echoes_call = false;
+  // What a probe asks for.
+  std::string health_path = "/load";
   std::vector<EndpointSpec> endpoints;
 
   bool operator==(const ServiceSpec&) const = default;
--- /dev/null
+++ b/core/token_bucket.h
@@ -0,0 +1,52 @@
+#ifndef CORE_TOKEN_BUCKET_H_
+#define CORE_TOKEN_BUCKET_H_
+
+#include <algorithm>
+
+#include "core/time.h"
+
+namespace damasktack {
+
+// Grants `rate` things a second on average and up to `burst` at once: in any
+// interval at most rate * interval + burst. Begins full.
+class TokenBucket {
+ public:
+  TokenBucket(double rate, double burst)
+      : rate_(rate), burst_(burst), tokens_(burst) {}
+
+  // Takes one; false where there is none.
+  bool Take(TimePoint now) {
+    Refill(now);
+    if (tokens_ < 1) {
+      return false;
+    }
+    tokens_ -= 1;
+    return true;
+  }
+
+  // Takes effect from now on.
+  void SetRate(double rate, TimePoint now) {
+    Refill(now);
+    rate_ = rate;
+  }
+
+  double rate() const { return rate_; }
+
+ private:
+  void Refill(TimePoint now) {
+    if (last_ != TimePoint() && now > last_) {
+      const std::chrono::duration<double> passed = now - last_;
+      tokens_ = std::min(burst_, tokens_ + passed.count() * rate_);
+    }
+    last_ = std::max(last_, now);
+  }
+
+  double rate_;
+  const double burst_;
+  double tokens_;
+  TimePoint last_;
+};
+
+}  // namespace damasktack
+
+#endif  // CORE_TOKEN_BUCKET_H_
--- /dev/null
+++ b/fleet/published_source.h
@@ -0,0 +1,59 @@
+#ifndef FLEET_PUBLISHED_SOURCE_H_
+#define FLEET_PUBLISHED_SOURCE_H_
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "contract/document.h"
+#include "contract/route.h"
+#include "core/error.h"
+#include "core/time.h"
+
+namespace damasktack {
+
+// An endpoint that is published no more.
+struct RemovedEndpoint {
+  EndpointId id;
+};
+
+// A value that could not be read; the last good one stays in force.
+struct UnreadableValue {
+  Error error;
+};
+
+using PublishedValue = std::
+    variant<RouteBook, PublishedEndpoint, RemovedEndpoint, UnreadableValue>;
+
+struct PublishedItem {
+  // Of its last change; goes up over all items together.
+  Revision revision = 0;
+  PublishedValue value;
+};
+
+struct PublishedItems {
+  std::vector<PublishedItem> items;
+  // Changes up to here are in the items.
+  Revision current = 0;
+};
+
+// Routes and endpoints as the platform publishes them: read and watched, never
+// written. Errors: kStale where the changes after a revision are no longer
+// kept, kUnreachable, kTimeout, kProtocol.
+class PublishedSource {
+ public:
+  virtual ~PublishedSource() = default;
+
+  // All items. They are read page by page and are no snapshot: `current` is
+  // the revision at the first page, so that a watch from it misses nothing.
+  virtual leaf::result<PublishedItems> ReadAll(Duration timeout) = 0;
+  // Waits up to `wait` for changes after a revision.
+  virtual leaf::result<PublishedItems> Watch(Revision after, Duration wait) = 0;
+  // Makes a call that is waiting now fail at once.
+  virtual void Interrupt() = 0;
+};
+
+}  // namespace damasktack
+
+#endif  // FLEET_PUBLISHED_SOURCE_H_
--- /dev/null
+++ b/fleet/published_view.cc
@@ -0,0 +1,163 @@
+#include "fleet/published_view.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace damasktack {
+
+namespace {
+
+// Removals remembered; the oldest are forgotten beyond. Many times what leaves
+// within the seconds for which an old read may be on its way.
+constexpr std::size_t kMostRemoved = 4096;
+
+}  // namespace
+
+void PublishedView::TakeAll(const PublishedItems& all,
+                            bool after_outage,
+                            TimePoint now) {
+  std::set<EndpointId> present;
+  for (const PublishedItem& it : all.items) {
+    if (const auto* endpoint = std::get_if<PublishedEndpoint>(&it.value)) {
+      present.insert(endpoint->spec.id);
+    }
+    Take(it, after_outage, now);
+  }
+  std::vector<EndpointId> missing;
+  for (const auto& [id, entry] : endpoints_) {
+    if (!present.contains(id) && entry.revision <= all.current) {
+      missing.push_back(id);
+    }
+  }
+  for (const EndpointId& it : missing) {
+    Miss(it, after_outage, now);
+  }
+  revision_ = std::max(revision_, all.current);
+}
+
+void PublishedView::TakeChanges(const PublishedItems& changes,
+                                bool after_outage,
+                                TimePoint now) {
+  for (const PublishedItem& it : changes.items) {
+    Take(it, after_outage, now);
+  }
+  revision_ = std::max(revision_, changes.current);
+}
+
+void PublishedView::Take(const PublishedItem& item,
+                         bool after_outage,
+                         TimePoint now) {
+  if (const auto* book = std::get_if<RouteBook>(&item.value)) {
+    TakeRoutes(*book);
+  } else if (const auto* endpoint =
+                 std::get_if<PublishedEndpoint>(&item.value)) {
+    TakeEndpoint(*endpoint, item.revision);
+  } else if (const auto* removed = std::get_if<RemovedEndpoint>(&item.value)) {
+    const auto it = endpoints_.find(removed->id);
+    const bool is_known = it != endpoints_.end();
+    if (is_known && it->second.revision <= item.revision) {
+      it->second.revision = item.revision;
+      Miss(removed->id, after_outage, now);
+    }
+    if (removed_.size() >= kMostRemoved) {
+      removed_.clear();
+    }
+    removed_[removed->id] = std::max(removed_[removed->id], item.revision);
+  } else {
+    refused_.push_back(std::get<UnreadableValue>(item.value).error);
+  }
+}
+
+void PublishedView::TakeRoutes(const RouteBook& book) {
+  if (routes_ && book.version <= routes_->version) {
+    return;
+  }
+  const std::optional<Error> fault =
+      FaultOf([&] { return CheckRouteBook(book); });
+  if (fault) {
+    refused_.push_back(*fault);
+    return;
+  }
+  routes_ = std::make_shared<RouteBook>(book);
+  changed_ = true;
+}
+
+void PublishedView::TakeEndpoint(const PublishedEndpoint& endpoint,
+                                 Revision revision) {
+  const auto removed = removed_.find(endpoint.spec.id);
+  if (removed != removed_.end() && removed->second >= revision) {
+    return;
+  }
+  Entry& entry = endpoints_[endpoint.spec.id];
+  if (entry.revision > revision) {
+    return;
+  }
+  entry.revision = revision;
+  // Under one id an endpoint that leaves never comes back: a newer entry that
+  // says so is a late write.
+  PublishedEndpoint taken = endpoint;
+  if (entry.endpoint.spec.state == ListedState::kLeaving) {
+    taken.spec.state = ListedState::kLeaving;
+  }
+  if (entry.missing_since || entry.endpoint != taken) {
+    entry.missing_since.reset();
+    entry.endpoint = std::move(taken);
+    changed_ = true;
+  }
+}
+
+void PublishedView::Miss(const EndpointId& id,
+                         bool after_outage,
+                         TimePoint now) {
+  const auto it = endpoints_.find(id);
+  if (it == endpoints_.end()) {
+    return;
+  }
+  if (!after_outage) {
+    endpoints_.erase(it);
+    changed_ = true;
+    return;
+  }
+  if (!it->second.missing_since) {
+    it->second.missing_since = now;
+  }
+}
+
+void PublishedView::Advance(TimePoint now) {
+  const auto gone = std::erase_if(endpoints_, [&](const auto& it) {
+    return it.second.missing_since &&
+           now - *it.second.missing_since >= kMissingGrace;
+  });
+  changed_ = changed_ || gone > 0;
+}
+
+std::optional<TimePoint> PublishedView::NextChange() const {
+  std::optional<TimePoint> next;
+  for (const auto& [id, entry] : endpoints_) {
+    if (entry.missing_since) {
+      const TimePoint due = *entry.missing_since + kMissingGrace;
+      next = next ? std::min(*next, due) : due;
+    }
+  }
+  return next;
+}
+
+std::vector<PublishedEndpoint> PublishedView::Endpoints() const {
+  std::vector<PublishedEndpoint> endpoints;
+  endpoints.reserve(endpoints_.size());
+  for (const auto& [id, entry] : endpoints_) {
+    endpoints.push_back(entry.endpoint);
+  }
+  return endpoints;
+}
+
+bool PublishedView::TakeChanged() {
+  return std::exchange(changed_, false);
+}
+
+std::vector<Error> PublishedView::TakeRefused() {
+  return std::exchange(refused_, {});
+}
+
+}  // namespace damasktack
--- /dev/null
+++ b/fleet/published_view.h
@@ -0,0 +1,69 @@
+#ifndef FLEET_PUBLISHED_VIEW_H_
+#define FLEET_PUBLISHED_VIEW_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "fleet/published_source.h"
+
+namespace damasktack {
+
+// What a host believes to be published: merges whole reads and single changes.
+// Pure. Revisions and versions only go up, so an old read that arrives late, or
+// a store that answers from an old copy, brings nothing back.
+class PublishedView {
+ public:
+  // An endpoint that is missing after the store was away is kept this long:
+  // its lease may have run out although it lives, and it is published again
+  // within two seconds of the store's return. Long enough for most of these,
+  // short enough that one which is gone gets no calls for long.
+  static constexpr Duration kMissingGrace = std::chrono::milliseconds(1500);
+
+  // A whole read. Endpoints that it lacks are removed; where the store was out
+  // of reach before it, only after kMissingGrace.
+  void TakeAll(const PublishedItems& all, bool after_outage, TimePoint now);
+  // Changes from a watch.
+  void TakeChanges(const PublishedItems& changes,
+                   bool after_outage,
+                   TimePoint now);
+  // Removes what has been missing for too long.
+  void Advance(TimePoint now);
+  // When Advance has something to do next; null where nothing is missing.
+  std::optional<TimePoint> NextChange() const;
+
+  // Null before the first that could be read.
+  const std::shared_ptr<const RouteBook>& routes() const { return routes_; }
+  std::vector<PublishedEndpoint> Endpoints() const;
+  Revision revision() const { return revision_; }
+  // Whether something differs from the last call.
+  bool TakeChanged();
+  // Values refused since the last call.
+  std::vector<Error> TakeRefused();
+
+ private:
+  struct Entry {
+    PublishedEndpoint endpoint;
+    Revision revision = 0;
+    std::optional<TimePoint> missing_since;
+  };
+
+  void Take(const PublishedItem& item, bool after_outage, TimePoint now);
+  void TakeRoutes(const RouteBook& book);
+  void TakeEndpoint(const PublishedEndpoint& endpoint, Revision revision);
+  void Miss(const EndpointId& id, bool after_outage, TimePoint now);
+
+  std::shared_ptr<const RouteBook> routes_;
+  std::map<EndpointId, Entry> endpoints_;
+  // Removed endpoints by the revision of their removal, so that an older read
+  // does not bring them back.
+  std::map<EndpointId, Revision> removed_;
+  std::vector<Error> refused_;
+  Revision revision_ = 0;
+  bool changed_ = false;
+};
+
+}  // namespace damasktack
+
+#endif  // FLEET_PUBLISHED_VIEW_H_
--- a/main/damasktack_main.cc
+++ b/main/damasktack_main.cc
@@ -1,6 +1,8 @@
 #include <pthread.h>
 #include <signal.h>
 
+#include <spdlog/spdlog.h>
+
 #include <boost/program_options.hpp>
 #include <iostream>
 #include <string>
@@ -8,6 +10,7 @@
 #include "core/host_state.h"
 #include "main/daemon.h"
 #include "main/daemon_options.h"
+#include "main/store_daemon.h"
 #include "main/version.h"
 #include "policy/call_outcome.h"
 #include "policy/endpoint_state.h"
@@ -33,6 +36,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
   return signals;
@@ -45,15 +49,47 @@
   damasktack::GetCallChart();
 }
 
-int Run(damasktack::Settings settings) {
+// Settings that cannot be read leave the running ones in force.
+void ReloadFrom(const std::string& path, damasktack::StoreDaemon& daemon) {
+  const auto fault =
+      damasktack::FaultOf([&]() -> damasktack::leaf::result<void> {
+        BOOST_LEAF_AUTO(settings, damasktack::LoadSettings(path));
+        daemon.Reload(settings);
+        return {};
+      });
+  if (fault) {
+    spdlog::error("event=reload-refused {}", damasktack::ToString(*fault));
+  }
+}
+
+// The settings of this kind of daemon hold nothing that a running one takes
+// in; the signal must not end it all the same.
+void ReloadFrom(const std::string& path, damasktack::Daemon& /*daemon*/) {
+  spdlog::info("event=reload-ignored settings={}", path);
+}
+
+// Returns when the process is to end.
+template <typename Host>
+void ServeUntilStopped(const sigset_t& signals,
+                       const std::string& path,
+                       Host& daemon) {
+  int signal_number = SIGHUP;
+  sigwait(&signals, &signal_number);
+  while (signal_number == SIGHUP) {
+    ReloadFrom(path, daemon);
+    sigwait(&signals, &signal_number);
+  }
+  daemon.Stop();
+}
+
+template <typename Host>
+int Run(damasktack::Settings settings, const std::string& path) {
   const sigset_t signals = BlockStopSignals();
-  damasktack::Daemon daemon(std::move(settings));
+  Host daemon(std::move(settings));
   return damasktack::Try(
       [&]() -> damasktack::leaf::result<int> {
         BOOST_LEAF_CHECK(daemon.Start());
-        int signal_number = 0;
-        sigwait(&signals, &signal_number);
-        daemon.Stop();
+        ServeUntilStopped(signals, path, daemon);
         return kExitOk;
       },
       [](const Error& error) { return Report(error, DaemonExit::kFailed); });
@@ -95,7 +131,9 @@
           std::cout << "settings are sound: " << path << "\n";
           return kExitOk;
         }
-        return Run(std::move(settings));
+        return settings.store.enabled
+                   ? Run<damasktack::StoreDaemon>(std::move(settings), path)
+                   : Run<damasktack::Daemon>(std::move(settings), path);
       },
       [](const Error& error) {
         return Report(error, DaemonExit::kBadSettings);
--- a/main/settings.cc
+++ b/main/settings.cc
@@ -23,7 +23,23 @@
               "admin.allow_remote to true where the network is trusted");
 }
 
+leaf::result<void> CheckSource(const Settings& settings) {
+  if (settings.platform.enabled != settings.store.enabled) {
+    return {};
+  }
+  if (settings.store.enabled) {
+    return Fail(ErrorKind::kDuplicate, "store", "platform and store",
+                "keep the section of the service that this deployment has");
+  }
+  return Fail(ErrorKind::kMissingKey, "platform", "nothing",
+              "add the section platform, or store where routes and endpoints "
+              "are published in a key-value store");
+}
+
 leaf::result<void> FillToken(AdminOptions& admin) {
+  if (admin.public_only) {
+    return {};
+  }
   if (admin.token.empty() == admin.token_file.empty()) {
     return Fail(ErrorKind::kMissingKey, "admin.token",
                 admin.token.empty() ? "nothing" : "token and token_file",
@@ -72,12 +88,17 @@
   SettingsReader reader(json, "");
   detail::VisitSettings(reader, settings);
   BOOST_LEAF_CHECK(reader.Finish());
+  BOOST_LEAF_CHECK(CheckSource(settings));
   BOOST_LEAF_CHECK(CheckAdminAddress(settings.admin));
   BOOST_LEAF_CHECK(FillToken(settings.admin));
   if (settings.fleet.enabled) {
     BOOST_LEAF_CHECK(CompleteFleetSettings(settings.fleet));
   }
   settings.proxy.balancer.table.zone = settings.zone;
+  settings.proxy.measured.zone = settings.zone;
+  settings.proxy.measured.retries = settings.proxy.balancer.retries;
+  // Where hosts share one budget, what each earns for nothing adds up.
+  settings.proxy.measured.retries.idle_refill = std::chrono::hours(1);
   return settings;
 }
 
--- a/main/settings.h
+++ b/main/settings.h
@@ -16,6 +16,7 @@
 namespace damasktack {
 
 struct PlatformOptions {
+  bool enabled = false;
   SocketAddress address;
   Duration watch = std::chrono::seconds(20);
   // Between failed reads: doubled from `retry` to `longest_retry`, jittered.
@@ -30,6 +31,19 @@
   double reads_per_second = 200;
 };
 
+// The section "store", for deployments that publish routes and endpoints in a
+// key-value store; the daemon then reads that instead of documents.
+struct StoreOptions {
+  bool enabled = false;
+  SocketAddress address;
+  // One watch waits this long.
+  Duration watch = std::chrono::seconds(4);
+  // Changes that come within this time cost one call together.
+  Duration gather = std::chrono::milliseconds(150);
+  // Hosts that share the endpoints, as long as nothing better is known.
+  std::int64_t hosts = 16;
+};
+
 struct StopOptions {
   // How long to go on serving after readiness went off, so that the
   // platform's balancer has time to notice.
@@ -45,6 +59,7 @@
   ProxyOptions proxy;
   AdminOptions admin;
   PlatformOptions platform;
+  StoreOptions store;
   FleetSettings fleet;
   LimitOptions limits;
   ClaimOptions claims;
--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -44,6 +44,18 @@
                minutes(10),
                "how long an unused connection to an endpoint is kept; below "
                "the time after which endpoints close it");
+  visitor.Count("retry_percent", options.balancer.retries.service_percent, 0,
+                100, "percent",
+                "repeated sends of one service, by its first sends");
+  visitor.Number("retry_burst", options.balancer.retries.service_cap, 0, 10'000,
+                 "sends", "repeated sends that a service may save up");
+  visitor.Flag("measures_before_sending", options.measures_before_sending,
+               "probe endpoints at the moment at which a call is placed; for "
+               "services whose executions take tens of milliseconds and more");
+  visitor.Number("probe_rate", options.measured.probe_rate, 0, 10'000,
+                 "probes a second",
+                 "probes of one service by this host; with "
+                 "measures_before_sending");
   visitor.Time("tick", options.tick, milliseconds(1), seconds(1),
                "how often deadlines of waiting calls are looked at");
 }
@@ -61,6 +73,11 @@
                  "characters; instead of token_file");
   visitor.Text("token_file", options.token_file,
                "file whose first line is the token; instead of token");
+  visitor.Flag("public_only", options.public_only,
+               "serve health, readiness and metrics and nothing else; then no "
+               "token is needed");
+  visitor.Text("ready_path", options.ready_path,
+               "path of the readiness check besides /readyz");
 }
 
 template <typename Visitor>
@@ -87,6 +104,19 @@
                  "reads and watches that all hosts together may send");
 }
 
+template <typename Visitor>
+void VisitStore(Visitor& visitor, StoreOptions& options) {
+  visitor.Address("address", options.address, SettingNeed::kRequired,
+                  "the key-value store that holds routes and endpoints");
+  visitor.Time("watch", options.watch, milliseconds(100), minutes(5),
+               "longest time that one watch waits");
+  visitor.Time("gather", options.gather, milliseconds(0), seconds(10),
+               "pause after changes, so that further ones come with them");
+  visitor.Count("hosts", options.hosts, 1, 10'000, "hosts",
+                "hosts that share the endpoints, while nothing better is "
+                "known");
+}
+
 template <typename Visitor>
 void VisitFleet(Visitor& visitor, FleetSettings& fleet) {
   visitor.Address("listen", fleet.listen, SettingNeed::kRequired,
@@ -160,8 +190,11 @@
                   VisitProxy<Visitor>);
   visitor.Section("admin", settings.admin, SettingNeed::kRequired,
                   VisitAdmin<Visitor>);
-  visitor.Section("platform", settings.platform, SettingNeed::kRequired,
-                  VisitPlatform<Visitor>);
+  settings.platform.enabled =
+      visitor.Section("platform", settings.platform, SettingNeed::kOptional,
+                      VisitPlatform<Visitor>);
+  settings.store.enabled = visitor.Section(
+      "store", settings.store, SettingNeed::kOptional, VisitStore<Visitor>);
   settings.fleet.enabled = visitor.Section(
       "fleet", settings.fleet, SettingNeed::kOptional, VisitFleet<Visitor>);
   visitor.Section("limits", settings.limits, SettingNeed::kOptional,
--- /dev/null
+++ b/main/store_daemon.cc
@@ -0,0 +1,203 @@
+#include "main/store_daemon.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include "platform/kv_names.h"
+
+namespace damasktack {
+
+namespace {
+
+constexpr Duration kStopPoll = std::chrono::milliseconds(10);
+// Without any caller's connection for this long, the stop is done.
+constexpr Duration kQuietBeforeEnd = std::chrono::milliseconds(50);
+
+ProxyOptions MakeProxyOptions(const Settings& settings) {
+  ProxyOptions options = settings.proxy;
+  options.names = KvProtocolNames();
+  return options;
+}
+
+PublishedReaderOptions MakeReaderOptions(const StoreOptions& store) {
+  PublishedReaderOptions options;
+  options.watch = store.watch;
+  options.gather = store.gather;
+  return options;
+}
+
+// The services of a book with the endpoints published for them.
+std::vector<ServiceSpec> MakeServices(const PublishedState& state) {
+  std::map<ServiceId, ServiceSpec> services;
+  for (const ServiceTraits& it : state.routes->services) {
+    ServiceSpec& service = services[it.id];
+    service.id = it.id;
+    service.health_path = it.health_path;
+    service.echoes_call = true;
+  }
+  std::map<ServiceId, std::int64_t> connections;
+  for (const ServiceTraits& it : state.routes->services) {
+    connections[it.id] = it.connections;
+  }
+  for (const PublishedEndpoint& it : state.endpoints) {
+    const auto service = services.find(it.service);
+    if (service == services.end()) {
+      continue;
+    }
+    EndpointSpec spec = it.spec;
+    spec.connections = connections[it.service];
+    service->second.endpoints.push_back(std::move(spec));
+  }
+  std::vector<ServiceSpec> list;
+  for (auto& [id, service] : services) {
+    list.push_back(std::move(service));
+  }
+  return list;
+}
+
+}  // namespace
+
+StoreDaemon::StoreDaemon(Settings settings)
+    : settings_(std::move(settings)),
+      state_(MakeProxyOptions(settings_), limits_, claims_),
+      callers_(state_),
+      admin_(settings_.admin, *this),
+      source_(settings_.store.address),
+      reader_(MakeReaderOptions(settings_.store),
+              source_,
+              *this,
+              std::random_device()()) {}
+
+StoreDaemon::~StoreDaemon() {
+  callers_.Stop();
+  reader_.Stop();
+}
+
+leaf::result<void> StoreDaemon::Start() {
+  state_.SetIsCurrent([this] { return has_routes_.load(); });
+  BOOST_LEAF_CHECK(callers_.Start());
+  BOOST_LEAF_CHECK(admin_.Start());
+  reader_.Start();
+  spdlog::info("event=started host={} zone={} callers={}",
+               settings_.host.text(), settings_.zone.text(), callers_.port());
+  return {};
+}
+
+void StoreDaemon::OnPublished(const PublishedState& state) {
+  if (!state.routes) {
+    return;
+  }
+  state_.SetRouting(
+      std::make_shared<RoutingTable>(state.routes, MakeServices(state)),
+      settings_.store.hosts, Clock::now());
+  has_routes_ = true;
+  LogChange(state);
+}
+
+void StoreDaemon::LogChange(const PublishedState& state) const {
+  const auto leaving =
+      std::ranges::count_if(state.endpoints, [](const PublishedEndpoint& it) {
+        return it.spec.state == ListedState::kLeaving;
+      });
+  spdlog::info(
+      "event=published-in-force version={} routes={} endpoints={} "
+      "leaving={}",
+      state.routes->version, state.routes->routes.size(),
+      state.endpoints.size(), leaving);
+}
+
+void StoreDaemon::Stop() {
+  spdlog::info("event=stopping host={}", settings_.host.text());
+  stopping_ = true;
+  // From now on answers close their connections, so that callers move away
+  // while the platform's balancer has not noticed yet.
+  state_.SetStopping();
+  const TimePoint last =
+      Clock::now() + settings_.stop.lag + settings_.stop.longest;
+  std::this_thread::sleep_for(settings_.stop.lag);
+  callers_.BeginStopping();
+  TimePoint quiet_since = Clock::now();
+  while (Clock::now() < last && Clock::now() - quiet_since < kQuietBeforeEnd) {
+    std::this_thread::sleep_for(kStopPoll);
+    if (callers_.connections() > 0) {
+      quiet_since = Clock::now();
+    }
+  }
+  const std::int64_t cut = state_.calls_in_flight();
+  callers_.Stop();
+  reader_.Stop();
+  admin_.Stop();
+  spdlog::info("event=stopped host={} cut={}", settings_.host.text(), cut);
+}
+
+void StoreDaemon::Reload(const Settings& settings) {
+  const bool same = settings.proxy.listen == settings_.proxy.listen &&
+                    settings.store.address == settings_.store.address;
+  spdlog::info("event=reloaded host={} needs_restart={}", settings_.host.text(),
+               !same);
+}
+
+bool StoreDaemon::Ready() const {
+  return has_routes_ && !stopping_ && !drained_;
+}
+
+std::string StoreDaemon::Metrics() const {
+  const PublishedReaderCounters reader = reader_.counters();
+  std::ostringstream out;
+  out << state_.RenderMetrics(Clock::now())
+      << "# TYPE damasktack_store_reads_total counter\n"
+      << "damasktack_store_reads_total " << reader.reads << "\n"
+      << "# TYPE damasktack_store_watches_total counter\n"
+      << "damasktack_store_watches_total " << reader.watches << "\n"
+      << "# TYPE damasktack_store_failures_total counter\n"
+      << "damasktack_store_failures_total " << reader.failures << "\n"
+      << "# TYPE damasktack_store_refused_total counter\n"
+      << "damasktack_store_refused_total " << reader.refused << "\n";
+  return out.str();
+}
+
+HostReport StoreDaemon::Host() const {
+  HostReport report;
+  report.id = settings_.host;
+  report.zone = settings_.zone;
+  report.ready = Ready();
+  report.drained = drained_;
+  report.stopping = stopping_;
+  report.uptime = Clock::now() - started_at_;
+  report.calls_in_flight = state_.calls_in_flight();
+  return report;
+}
+
+std::vector<Contract> StoreDaemon::Contracts() const {
+  return state_.routing()->contracts();
+}
+
+std::vector<ServiceReport> StoreDaemon::Services() const {
+  std::vector<ServiceReport> reports;
+  for (const auto& [id, dispatcher] : state_.dispatchers()) {
+    reports.push_back(ServiceReport{id, dispatcher->Status(Clock::now())});
+  }
+  return reports;
+}
+
+std::vector<CallMetrics::SeriesReport> StoreDaemon::Histograms() const {
+  return state_.metrics().Report();
+}
+
+void StoreDaemon::SetDrained(bool drained) {
+  drained_ = drained;
+}
+
+leaf::result<void> StoreDaemon::DeclareGone(const HostId& host) {
+  return Fail(ErrorKind::kRefused, "host " + host.text(),
+              "a daemon that shares no limits with its peers",
+              "nothing needs to be declared in this deployment");
+}
+
+}  // namespace damasktack
--- a/misc/cmake/DamasktackPackage.cmake
+++ b/misc/cmake/DamasktackPackage.cmake
@@ -8,7 +8,8 @@
   target_include_directories(damasktack_${name} PUBLIC ${CMAKE_SOURCE_DIR})
   # Boost.Asio's coroutine frames make g++ 12 report a mismatch that is none.
   target_compile_options(damasktack_${name} PRIVATE
-                         -Wall -Wextra -Werror -Wno-mismatched-new-delete)
+                         -Wall -Wextra $<$<BOOL:${DAMASKTACK_DEVELOPMENT}>:-Werror>
+                         -Wno-mismatched-new-delete)
   target_link_libraries(damasktack_${name} PUBLIC ${ARG_LINK})
 endfunction()
 
--- /dev/null
+++ b/policy/balancer.h
@@ -0,0 +1,91 @@
+#ifndef POLICY_BALANCER_H_
+#define POLICY_BALANCER_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+#include "contract/service.h"
+#include "core/time.h"
+#include "policy/call.h"
+#include "policy/call_offer.h"
+#include "policy/endpoint_report.h"
+#include "policy/endpoint_status.h"
+
+namespace damasktack {
+
+// One finished send.
+struct SendEnd {
+  CallToken token = 0;
+  EndpointIndex endpoint = 0;
+  SendResult result = SendResult::kAnswered;
+  // From the start of the send to its end.
+  Duration took{};
+  std::optional<EndpointReport> report;
+  // The answer went through a damasktack closer to the failure, which has
+  // had its chance to send the call again.
+  bool retried_deeper = false;
+  // Sends of this call so far, this one included.
+  int sends = 1;
+};
+
+// What to do with a call whose send has ended.
+enum class AfterSend : std::uint8_t { kDone, kRetry };
+
+struct BalancerStatus {
+  EndpointTableStatus table;
+  std::size_t waiting = 0;
+  std::array<std::size_t, kUrgencyCount> waiting_by_urgency{};
+  std::uint64_t retries_granted = 0;
+  std::uint64_t retries_withheld = 0;
+};
+
+// All decisions for one service on one host: who waits, who is sent where,
+// what is measured, what is tried again. Pure: no clock, sockets or threads;
+// the owner serialises the calls and carries out what comes back.
+class Balancer {
+ public:
+  virtual ~Balancer() = default;
+
+  // Follows the published list. Indexes of endpoints that stay are kept.
+  // `hosts` is the number of entry hosts that share the endpoints.
+  virtual void SetService(const ServiceSpec& service,
+                          std::int64_t hosts,
+                          TimePoint now) = 0;
+
+  // Takes a call in; `out` may hold its dispatch or rejection at once.
+  virtual void Offer(const CallOffer& offer, TimePoint now, Decisions& out) = 0;
+  // Takes a waiting call out, when its caller went away. False where the call
+  // is not waiting.
+  virtual bool Withdraw(CallToken token, TimePoint now) = 0;
+  // Frees the endpoint's place and says whether the call may be sent again;
+  // kRetry puts the call back among the waiting.
+  virtual AfterSend Finish(const CallOffer& offer,
+                           const SendEnd& end,
+                           TimePoint now,
+                           Decisions& out) = 0;
+  virtual void Report(EndpointIndex endpoint,
+                      const EndpointReport& report,
+                      TimePoint now,
+                      Decisions& out) = 0;
+  // Another host has seen the endpoint drain.
+  virtual void HearDrain(const EndpointId& id, TimePoint now) = 0;
+  // Time passes: refuses what missed its deadline, sends what may go now.
+  virtual void Tick(TimePoint now, Decisions& out) = 0;
+  // The next endpoint worth a probe, if the budget allows one now.
+  virtual std::optional<EndpointIndex> NextProbe(TimePoint now) = 0;
+  // Whether NextProbe is to be asked also while no call waits.
+  virtual bool probes_while_quiet() const = 0;
+  // A probe that was sent brought no report.
+  virtual void ProbeFailed(EndpointIndex endpoint,
+                           TimePoint now,
+                           Decisions& out) = 0;
+
+  virtual const EndpointSpec& endpoint(EndpointIndex index) const = 0;
+  virtual std::size_t waiting() const = 0;
+  virtual BalancerStatus Status(TimePoint now) const = 0;
+};
+
+}  // namespace damasktack
+
+#endif  // POLICY_BALANCER_H_
--- a/policy/call_offer.h
+++ b/policy/call_offer.h
@@ -27,6 +27,10 @@
   bool is_repeat = false;
   // Repeated sends allowed to the customer, percent of first sends.
   std::int64_t retry_percent = 10;
+  // Sends of this call at most; 0 where the service's own bound holds alone.
+  int most_sends = 0;
+  // An answer later than this is worth little to the caller.
+  TimePoint on_time_until;
   TimePoint arrival;
   TimePoint deadline;
 };
@@ -50,6 +54,8 @@
 struct Rejection {
   CallToken token = 0;
   Refusal refusal = Refusal::kNone;
+  // When a new try has a chance; zero where only what is usual is known.
+  Duration retry_after{};
 
   bool operator==(const Rejection&) const = default;
 };
--- a/policy/endpoint_health.cc
+++ b/policy/endpoint_health.cc
@@ -45,6 +45,7 @@
   if (result == SendResult::kCancelled) {
     return;
   }
+  ever_ended_ = true;
   ends_.Add(1, now);
   if (IsError(result)) {
     errors_.Add(1, now);
--- a/policy/endpoint_health.h
+++ b/policy/endpoint_health.h
@@ -17,6 +17,8 @@
   // Takes the ends of `part` out of a sum that they had gone into.
   void Forget(const EndpointHealth& part, TimePoint now);
 
+  // Whether any send has ended there.
+  bool ever_ended() const { return ever_ended_; }
   // Sends, weighted by recency.
   double ends(TimePoint now) const { return ends_.Value(now); }
   double errors(TimePoint now) const { return errors_.Value(now); }
@@ -29,6 +31,7 @@
  private:
   static constexpr Duration kMemory = std::chrono::seconds(2);
 
+  bool ever_ended_ = false;
   DecayingSum ends_{kMemory};
   DecayingSum errors_{kMemory};
   DecayingSum sheds_{kMemory};
--- a/policy/endpoint_report.h
+++ b/policy/endpoint_report.h
@@ -20,6 +20,8 @@
   std::int32_t queued = 0;
   std::int32_t slots = 1;
   EndpointMode mode = EndpointMode::kServing;
+  // How long work takes there at the moment, by the usual time.
+  double pace = 1;
 };
 
 }  // namespace damasktack
--- a/policy/endpoint_roster.cc
+++ b/policy/endpoint_roster.cc
@@ -102,8 +102,12 @@
     OnTrialEnd(index, result, now);
     return;
   }
-  // An endpoint that sends no reports shows by an answer that it serves.
-  if (result == SendResult::kAnswered && !record.estimate.has_report()) {
+  // An endpoint that sends no reports shows by an answer that it serves. Not
+  // one that leaves: the answers to calls that were under way when it began to
+  // would bring it new ones until it stops.
+  const bool leaves = record.listed_as_leaving || record.drain_reported;
+  if (result == SendResult::kAnswered && !record.estimate.has_report() &&
+      !leaves) {
     Follow(index, EndpointEvent::kServes, "answer", now);
   }
   if (TellsOfHealth(result)) {
--- /dev/null
+++ b/policy/measured_balancer.cc
@@ -0,0 +1,467 @@
+#include "policy/measured_balancer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "policy/slow_start.h"
+
+namespace damasktack {
+
+namespace {
+
+// Weight of one more report or answer in what is usual.
+constexpr double kSampleWeight = 1.0 / 16;
+// Part of the time left that an execution is taken for, before the first
+// answer tells.
+constexpr int kFirstGuess = 3;
+// How far one answer moves the usual time.
+constexpr double kTimeStep = 0.03;
+// An endpoint that has just started works up to twice as long. After its first
+// call, which warms it, a host prefers others that are as free.
+constexpr double kColdCost = 1.35;
+// One that was never measured is looked at before others: left out of the
+// first look it would get no calls while the others suffice.
+constexpr double kNewLook = 0.3;
+// One on trial is for calls that find nothing better.
+constexpr double kTrialCost = 2;
+// A probe that failed within this makes an endpoint the last choice.
+constexpr Duration kProbeFailureHolds = std::chrono::milliseconds(800);
+constexpr double kProbeFailureCost = 8;
+// Work slows down a little as an endpoint fills up.
+constexpr double kFullCost = 0.15;
+// Answers without a report after which an endpoint's service is taken to have
+// none.
+constexpr std::uint64_t kSilentAnswers = 8;
+// Bounds of Retry-After, and what is added at random so that callers that were
+// refused together do not come back together.
+constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(40);
+constexpr Duration kLongestRetryAfter = std::chrono::seconds(1);
+constexpr Duration kSpreadRetryAfter = std::chrono::milliseconds(60);
+
+bool HasHadCalls(const EndpointRecord& record) {
+  return record.estimate.own_in_flight() > 0 || record.health.ever_ended();
+}
+
+Duration Scaled(Duration time, double factor) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::nano>(
+          static_cast<double>(time.count()) * factor));
+}
+
+}  // namespace
+
+MeasuredBalancer::MeasuredBalancer(MeasuredBalancerOptions options,
+                                   std::uint64_t seed)
+    : options_(std::move(options)),
+      random_(seed),
+      queue_(options_.admission),
+      retries_(options_.retries),
+      probe_budget_(options_.probe_rate, options_.probe_burst) {}
+
+void MeasuredBalancer::SetService(const ServiceSpec& service,
+                                  std::int64_t /*hosts*/,
+                                  TimePoint now) {
+  for (EndpointIndex n = 0; n < specs_.size(); ++n) {
+    if (std::ranges::find(service.endpoints, specs_[n].id, &EndpointSpec::id) ==
+        service.endpoints.end()) {
+      roster_.OnUnlisted(n, now);
+    }
+  }
+  const bool first_list = specs_.empty();
+  for (const EndpointSpec& spec : service.endpoints) {
+    std::optional<EndpointIndex> index = Find(spec);
+    if (!index) {
+      index = roster_.Add(first_list, now);
+      const std::size_t size = std::max<std::size_t>(specs_.size(), *index + 1);
+      specs_.resize(size);
+      measures_.resize(size);
+      measures_[*index] = EndpointMeasure();
+    }
+    specs_[*index] = spec;
+    EndpointRecord& record = roster_.record(*index);
+    record.slots = static_cast<double>(std::max<std::int64_t>(spec.slots, 1));
+    record.other_zone = spec.zone != options_.zone;
+    roster_.OnListed(*index, spec.state, now);
+  }
+  roster_.Recount();
+}
+
+std::optional<EndpointIndex> MeasuredBalancer::Find(
+    const EndpointSpec& spec) const {
+  for (EndpointIndex n = 0; n < specs_.size(); ++n) {
+    if (roster_.records()[n].listed && specs_[n].id == spec.id &&
+        specs_[n].address == spec.address) {
+      return n;
+    }
+  }
+  return std::nullopt;
+}
+
+bool MeasuredBalancer::MayMeasure() const {
+  return reports_ > 0 || silent_answers_ < kSilentAnswers;
+}
+
+MeasuredBalancer::Candidate MeasuredBalancer::Weigh(EndpointIndex index,
+                                                    TimePoint now) const {
+  const EndpointRecord& record = roster_.records()[index];
+  const EndpointMeasure& measure = measures_[index];
+  Candidate it;
+  it.index = index;
+  it.slots = record.slots;
+  it.calls = MayMeasure()
+                 ? measure.Calls(prior_, record.slots, options_.memory, now)
+                 : 0;
+  it.calls = std::max<double>(it.calls, record.estimate.own_in_flight());
+  it.is_fresh = measure.IsFresh(now, options_.fresh) || !MayMeasure();
+  double pace = measure.Pace(prior_, options_.memory, now);
+  if (record.state == EndpointState::kTrial) {
+    pace *= kTrialCost;
+  } else if (record.state != EndpointState::kServing && HasHadCalls(record)) {
+    pace *= kColdCost;
+  }
+  pace *= 1 + record.penalty;
+  if (measure.FailedSince(now - kProbeFailureHolds)) {
+    pace *= kProbeFailureCost;
+  }
+  const double queued = std::max(0.0, it.calls + 1 - record.slots);
+  const double filled = std::min(1.0, it.calls / record.slots);
+  const double work =
+      pace * (1 + kFullCost * filled) + pace * queued / record.slots;
+  it.finish = Scaled(usual_time_, work);
+  it.cost = record.other_zone
+                ? it.finish + Scaled(usual_time_, options_.other_zone_cost)
+                : it.finish;
+  it.is_good = it.is_fresh && queued == 0 && pace <= options_.good_pace;
+  return it;
+}
+
+std::optional<MeasuredBalancer::Candidate> MeasuredBalancer::Best(
+    const WaitingCall& call,
+    TimePoint now) {
+  roster_.Advance(now);
+  std::optional<Candidate> best;
+  const auto usable = roster_.usable();
+  if (usable.empty()) {
+    return best;
+  }
+  // From a random start, so that hosts with the same reports choose apart.
+  std::size_t at =
+      UniformBelow(random_, static_cast<std::uint32_t>(usable.size()));
+  for (std::size_t n = 0; n < usable.size(); ++n) {
+    const EndpointIndex index = usable[at];
+    at = at + 1 == usable.size() ? 0 : at + 1;
+    if (usable.size() > 1 && call.avoid == index) {
+      continue;
+    }
+    const Candidate it = Weigh(index, now);
+    const bool is_better =
+        !best || (it.is_good && !best->is_good) ||
+        (it.is_good == best->is_good && it.cost < best->cost);
+    if (is_better) {
+      best = it;
+    }
+  }
+  return best;
+}
+
+bool MeasuredBalancer::AwaitsProbes(TimePoint now) const {
+  return !wanted_probes_.empty() ||
+         std::ranges::any_of(roster_.usable(), [&](EndpointIndex it) {
+           return measures_[it].IsPending(now, options_.probe_patience);
+         });
+}
+
+bool MeasuredBalancer::Measure(TimePoint now) {
+  if (!MayMeasure()) {
+    return false;
+  }
+  std::vector<Candidate> unknown;
+  bool is_first_look = true;
+  for (const EndpointIndex it : roster_.usable()) {
+    if (measures_[it].IsFresh(now, options_.fresh)) {
+      is_first_look = false;
+    } else if (!measures_[it].HasProbe() &&
+               !measures_[it].FailedSince(now - options_.fresh)) {
+      unknown.push_back(Weigh(it, now));
+      if (measures_[it].ReportAge(now) < Duration::zero()) {
+        unknown.back().cost = Scaled(unknown.back().cost, kNewLook);
+      }
+    }
+  }
+  const std::size_t most =
+      std::min(unknown.size(),
+               is_first_look ? options_.first_probes : options_.further_probes);
+  std::ranges::shuffle(unknown, random_);
+  std::ranges::partial_sort(unknown,
+                            unknown.begin() + static_cast<std::ptrdiff_t>(most),
+                            {}, &Candidate::cost);
+  bool any = false;
+  for (std::size_t n = 0; n < most; ++n) {
+    if (!probe_budget_.Take(now)) {
+      ++probes_withheld_;
+      break;
+    }
+    measures_[unknown[n].index].OnProbe(now);
+    wanted_probes_.push_back(unknown[n].index);
+    any = true;
+  }
+  return any;
+}
+
+// The call has been held for as long as it may be; it goes to a place that is
+// free, if it ends before its deadline there, though late.
+bool MeasuredBalancer::IsLastChance(const WaitingCall& call,
+                                    const Candidate& best,
+                                    TimePoint now) const {
+  return best.calls + 1 <= best.slots &&
+         now + best.finish < call.offer.deadline;
+}
+
+MeasuredBalancer::Step MeasuredBalancer::Decide(
+    const WaitingCall& call,
+    const std::optional<Candidate>& best,
+    TimePoint now) {
+  if (!best) {
+    const bool given_up = unusable_since_ && now - *unusable_since_ >=
+                                                 options_.no_endpoint_patience;
+    return given_up ? Step::kRefuse : Step::kWait;
+  }
+  if (best->is_good) {
+    return Step::kSend;
+  }
+  if (AwaitsProbes(now) || Measure(now)) {
+    return Step::kWait;
+  }
+  const CallOffer& offer = call.offer;
+  if (now + best->finish <= offer.on_time_until) {
+    return Step::kSend;
+  }
+  const Duration held_most =
+      Scaled(offer.on_time_until - offer.arrival, options_.held_part);
+  if (now - offer.arrival < held_most) {
+    return Step::kWait;
+  }
+  return IsLastChance(call, *best, now) ? Step::kSend : Step::kRefuse;
+}
+
+void MeasuredBalancer::Offer(const CallOffer& offer,
+                             TimePoint now,
+                             Decisions& out) {
+  Admit(WaitingCall{offer, std::nullopt}, now, out);
+}
+
+void MeasuredBalancer::Admit(WaitingCall call, TimePoint now, Decisions& out) {
+  if (usual_time_ == Duration::zero()) {
+    usual_time_ = (call.offer.on_time_until - call.offer.arrival) / kFirstGuess;
+  }
+  queue_.Add(std::move(call), out.rejections);
+  Pump(now, out);
+}
+
+bool MeasuredBalancer::Withdraw(CallToken token, TimePoint /*now*/) {
+  return queue_.Remove(token);
+}
+
+void MeasuredBalancer::Pump(TimePoint now, Decisions& out) {
+  if (queue_.empty()) {
+    return;
+  }
+  WatchUsable(now);
+  queue_.Expire(now, ServiceTimes{}, out.rejections);
+  while (PumpOne(now, out)) {
+  }
+}
+
+bool MeasuredBalancer::PumpOne(TimePoint now, Decisions& out) {
+  for (const Urgency urgency : queue_.Order()) {
+    const WaitingCall& head = *queue_.Head(urgency);
+    const std::optional<Candidate> best = Best(head, now);
+    const Step step = Decide(head, best, now);
+    if (step == Step::kSend) {
+      Send(queue_.Take(urgency), best->index, now, out);
+      return true;
+    }
+    if (step == Step::kRefuse) {
+      const CallOffer offer = head.offer;
+      queue_.Remove(offer.token);
+      out.rejections.push_back({offer.token,
+                                best ? Refusal::kShed : Refusal::kNoEndpoint,
+                                RetryAfter(offer, best, now)});
+      return true;
+    }
+  }
+  return false;
+}
+
+Duration MeasuredBalancer::RetryAfter(const CallOffer& offer,
+                                      const std::optional<Candidate>& best,
+                                      TimePoint now) {
+  Duration wait = kShortestRetryAfter;
+  if (best) {
+    wait = std::max(wait, now + best->finish - offer.on_time_until);
+  }
+  const double spread = UniformBelow(random_, 1000) / 1000.0;
+  return std::min(wait, kLongestRetryAfter) + Scaled(kSpreadRetryAfter, spread);
+}
+
+void MeasuredBalancer::Send(const WaitingCall& call,
+                            EndpointIndex endpoint,
+                            TimePoint now,
+                            Decisions& out) {
+  roster_.record(endpoint).estimate.OnSend();
+  measures_[endpoint].OnSend();
+  if (!call.avoid) {
+    retries_.OnFirstSend(call.offer.customer, call.offer.retry_percent, now);
+  }
+  out.dispatches.push_back({call.offer.token, endpoint});
+}
+
+AfterSend MeasuredBalancer::Finish(const CallOffer& offer,
+                                   const SendEnd& end,
+                                   TimePoint now,
+                                   Decisions& out) {
+  roster_.record(end.endpoint).estimate.OnEnd();
+  if (end.report) {
+    OnReport(end.endpoint, *end.report, now);
+  } else if (end.result == SendResult::kAnswered) {
+    ++silent_answers_;
+  }
+  // Slowness shows in the reports; compared between endpoints it would only
+  // eject whoever is slow for half a second.
+  roster_.OnSendEnd(end.endpoint, end.result, 1, now);
+  Learn(end);
+  retries_.OnSendEnd(end.result);
+  if (!MayRetry(offer, end, now)) {
+    Pump(now, out);
+    return AfterSend::kDone;
+  }
+  Admit(WaitingCall{offer, end.endpoint}, now, out);
+  return AfterSend::kRetry;
+}
+
+void MeasuredBalancer::Learn(const SendEnd& end) {
+  if (end.result != SendResult::kAnswered) {
+    return;
+  }
+  if (end.report && end.report->pace > options_.good_pace) {
+    return;
+  }
+  // Moves by a small step towards each answer, and so towards their median: a
+  // mean would follow the few that took several times as long.
+  const double step = end.took > usual_time_ ? 1 + kTimeStep : 1 - kTimeStep;
+  usual_time_ = Scaled(usual_time_, step);
+}
+
+bool MeasuredBalancer::MayRetry(const CallOffer& offer,
+                                const SendEnd& end,
+                                TimePoint now) {
+  if (!MaySendAgain(end.result, offer.idempotent) || end.retried_deeper ||
+      offer.is_repeat) {
+    return false;
+  }
+  const int most_sends = offer.most_sends > 0
+                             ? std::min(offer.most_sends, options_.most_sends)
+                             : options_.most_sends;
+  if (end.sends >= most_sends || now + usual_time_ >= offer.deadline) {
+    return false;
+  }
+  if (retries_.IsFutile(end.result) ||
+      !retries_.TrySpend(offer.customer, offer.retry_percent, now)) {
+    ++retries_withheld_;
+    return false;
+  }
+  ++retries_granted_;
+  return true;
+}
+
+void MeasuredBalancer::OnReport(EndpointIndex endpoint,
+                                const EndpointReport& report,
+                                TimePoint now) {
+  ++reports_;
+  measures_[endpoint].OnReport(report, now);
+  EndpointRecord& record = roster_.record(endpoint);
+  const double load = (report.in_flight + report.queued) / record.slots;
+  prior_.pace += (report.pace - prior_.pace) * kSampleWeight;
+  prior_.load += (load - prior_.load) * kSampleWeight;
+  roster_.OnReportedMode(endpoint, report.mode, now);
+}
+
+void MeasuredBalancer::Report(EndpointIndex endpoint,
+                              const EndpointReport& report,
+                              TimePoint now,
+                              Decisions& out) {
+  OnReport(endpoint, report, now);
+  Pump(now, out);
+}
+
+void MeasuredBalancer::ProbeFailed(EndpointIndex endpoint,
+                                   TimePoint now,
+                                   Decisions& out) {
+  measures_[endpoint].OnProbeFailed(now);
+  Pump(now, out);
+}
+
+void MeasuredBalancer::HearDrain(const EndpointId& id, TimePoint now) {
+  for (EndpointIndex n = 0; n < specs_.size(); ++n) {
+    if (specs_[n].id == id && roster_.record(n).listed) {
+      roster_.OnReportedMode(n, EndpointMode::kDraining, now);
+    }
+  }
+}
+
+void MeasuredBalancer::Tick(TimePoint now, Decisions& out) {
+  Pump(now, out);
+}
+
+std::optional<EndpointIndex> MeasuredBalancer::NextProbe(TimePoint /*now*/) {
+  if (wanted_probes_.empty()) {
+    return std::nullopt;
+  }
+  const EndpointIndex next = wanted_probes_.front();
+  wanted_probes_.erase(wanted_probes_.begin());
+  ++probes_sent_;
+  return next;
+}
+
+void MeasuredBalancer::WatchUsable(TimePoint now) {
+  roster_.Advance(now);
+  if (!roster_.usable().empty()) {
+    unusable_since_.reset();
+  } else if (!unusable_since_) {
+    unusable_since_ = now;
+  }
+}
+
+BalancerStatus MeasuredBalancer::Status(TimePoint now) const {
+  BalancerStatus status;
+  for (EndpointIndex n = 0; n < specs_.size(); ++n) {
+    const EndpointRecord& record = roster_.records()[n];
+    if (!record.listed) {
+      continue;
+    }
+    const Candidate candidate = Weigh(n, now);
+    EndpointStatus endpoint;
+    endpoint.id = specs_[n].id;
+    endpoint.zone = specs_[n].zone;
+    endpoint.state = std::string(ChartName(record.state));
+    endpoint.reason = std::string(record.reason);
+    endpoint.own_in_flight = record.estimate.own_in_flight();
+    endpoint.estimated_in_flight = candidate.calls;
+    endpoint.slots = static_cast<std::int32_t>(record.slots);
+    endpoint.report_age = measures_[n].ReportAge(now);
+    status.table.endpoints.push_back(std::move(endpoint));
+  }
+  status.table.probes_sent = probes_sent_;
+  status.table.probes_withheld = probes_withheld_;
+  status.table.probes_per_second = probe_budget_.rate();
+  status.waiting = queue_.size();
+  for (std::size_t n = 0; n < kUrgencyCount; ++n) {
+    status.waiting_by_urgency[n] = queue_.Waiting(static_cast<Urgency>(n));
+  }
+  status.retries_granted = retries_granted_;
+  status.retries_withheld = retries_withheld_;
+  return status;
+}
+
+}  // namespace damasktack
--- /dev/null
+++ b/policy/measured_balancer.h
@@ -0,0 +1,166 @@
+#ifndef POLICY_MEASURED_BALANCER_H_
+#define POLICY_MEASURED_BALANCER_H_
+
+#include <optional>
+#include <vector>
+
+#include "core/random.h"
+#include "core/token_bucket.h"
+#include "policy/admission_queue.h"
+#include "policy/balancer.h"
+#include "policy/endpoint_measure.h"
+#include "policy/endpoint_roster.h"
+#include "policy/retry_budget.h"
+
+namespace damasktack {
+
+struct MeasuredBalancerOptions {
+  // Zone of this host.
+  ZoneId zone;
+  AdmissionOptions admission;
+  RetryBudgetOptions retries;
+  // Sends of one call at most, where its route allows more.
+  int most_sends = 3;
+
+  // A report this young is taken as it is: within it a host's peers place less
+  // than one call at an endpoint.
+  Duration fresh = std::chrono::milliseconds(40);
+  // Endpoints change their pace about twice a second.
+  Duration memory = std::chrono::milliseconds(250);
+  // How long a decision waits for probes: twice the way to another zone and
+  // back, and some work at both ends.
+  Duration probe_patience = std::chrono::milliseconds(8);
+  // Probes of a first look, near ones first, and of each further one.
+  std::size_t first_probes = 3;
+  std::size_t further_probes = 6;
+  // Probes a second of this host for this service, and how many at once.
+  double probe_rate = 40;
+  double probe_burst = 15;
+  // An endpoint that works no slower than this by the usual pace is as good
+  // as any.
+  double good_pace = 1.4;
+  // The part of its latency objective that a call is held back for a better
+  // endpoint. What is refused after longer might have gone elsewhere in time.
+  double held_part = 0.125;
+  // What another zone costs, by the time of an execution: crossing costs bytes
+  // that are billed.
+  double other_zone_cost = 0.15;
+  // Calls wait this long for a usable endpoint before they are refused.
+  Duration no_endpoint_patience = std::chrono::milliseconds(150);
+};
+
+// Balances by measuring at the moment of the decision, for services whose
+// executions take tens of milliseconds and more, on endpoints whose speed
+// changes a few times within a second.
+//
+// The load that it answers: a quarter of the endpoints is several times slower
+// than usual at any moment, and which ones changes faster than a host's own
+// answers tell. A call that finds no fresh report of a good endpoint has a few
+// endpoints probed, near ones first, then more; it goes where it will end
+// first, and only where that is on time for its caller. One that nobody can
+// serve in time is refused before it has been held for long, so that queues at
+// the endpoints stay short for those that come after it.
+class MeasuredBalancer : public Balancer {
+ public:
+  MeasuredBalancer(MeasuredBalancerOptions options, std::uint64_t seed);
+
+  void SetService(const ServiceSpec& service,
+                  std::int64_t hosts,
+                  TimePoint now) override;
+  void Offer(const CallOffer& offer, TimePoint now, Decisions& out) override;
+  bool Withdraw(CallToken token, TimePoint now) override;
+  AfterSend Finish(const CallOffer& offer,
+                   const SendEnd& end,
+                   TimePoint now,
+                   Decisions& out) override;
+  void Report(EndpointIndex endpoint,
+              const EndpointReport& report,
+              TimePoint now,
+              Decisions& out) override;
+  void HearDrain(const EndpointId& id, TimePoint now) override;
+  void Tick(TimePoint now, Decisions& out) override;
+  std::optional<EndpointIndex> NextProbe(TimePoint now) override;
+  bool probes_while_quiet() const override { return false; }
+  void ProbeFailed(EndpointIndex endpoint,
+                   TimePoint now,
+                   Decisions& out) override;
+
+  const EndpointSpec& endpoint(EndpointIndex index) const override {
+    return specs_[index];
+  }
+  std::size_t waiting() const override { return queue_.size(); }
+  BalancerStatus Status(TimePoint now) const override;
+
+ private:
+  struct Candidate {
+    EndpointIndex index = 0;
+    // From now to the end of the call.
+    Duration finish{};
+    // For ordering: `finish` with what another zone costs.
+    Duration cost{};
+    double calls = 0;
+    double slots = 1;
+    bool is_fresh = false;
+    bool is_good = false;
+  };
+  enum class Step : std::uint8_t { kSend, kRefuse, kWait };
+
+  Candidate Weigh(EndpointIndex index, TimePoint now) const;
+  // The cheapest for the call among those looked at; null without any.
+  std::optional<Candidate> Best(const WaitingCall& call, TimePoint now);
+  Step Decide(const WaitingCall& call,
+              const std::optional<Candidate>& best,
+              TimePoint now);
+  bool IsLastChance(const WaitingCall& call,
+                    const Candidate& best,
+                    TimePoint now) const;
+  // Whether probes are on their way that a decision should wait for.
+  bool AwaitsProbes(TimePoint now) const;
+  // Asks for further probes; false where there is nobody left to probe, or no
+  // budget.
+  bool Measure(TimePoint now);
+  void Admit(WaitingCall call, TimePoint now, Decisions& out);
+  void Pump(TimePoint now, Decisions& out);
+  bool PumpOne(TimePoint now, Decisions& out);
+  void Send(const WaitingCall& call,
+            EndpointIndex endpoint,
+            TimePoint now,
+            Decisions& out);
+  Duration RetryAfter(const CallOffer& offer,
+                      const std::optional<Candidate>& best,
+                      TimePoint now);
+  bool MayRetry(const CallOffer& offer, const SendEnd& end, TimePoint now);
+  void OnReport(EndpointIndex endpoint,
+                const EndpointReport& report,
+                TimePoint now);
+  void Learn(const SendEnd& end);
+  void WatchUsable(TimePoint now);
+  std::optional<EndpointIndex> Find(const EndpointSpec& spec) const;
+  bool MayMeasure() const;
+
+  MeasuredBalancerOptions options_;
+  Random random_;
+  std::vector<EndpointSpec> specs_;
+  std::vector<EndpointMeasure> measures_;
+  EndpointRoster roster_;
+  MeasurePrior prior_;
+  AdmissionQueue queue_;
+  RetryBudget retries_;
+  TokenBucket probe_budget_;
+  // To be probed as soon as the owner asks.
+  std::vector<EndpointIndex> wanted_probes_;
+  // Mean time of an execution at the usual pace; zero before the first.
+  Duration usual_time_{};
+  std::optional<TimePoint> unusable_since_;
+  // Whether endpoints report at all, by the probes and answers so far.
+  std::uint64_t reports_ = 0;
+  std::uint64_t silent_answers_ = 0;
+  std::uint64_t probes_sent_ = 0;
+  std::uint64_t probes_withheld_ = 0;
+  std::uint64_t retries_granted_ = 0;
+  std::uint64_t retries_withheld_ = 0;
+};
+
+}  // namespace damasktack
+
+#endif  // POLICY_MEASURED_BALANCER_H_
--- a/policy/service_balancer.cc
+++ b/policy/service_balancer.cc
@@ -135,7 +135,10 @@
   if (end.retried_deeper || offer.is_repeat) {
     return false;
   }
-  if (end.sends >= options_.most_sends ||
+  const int most_sends = offer.most_sends > 0
+                             ? std::min(offer.most_sends, options_.most_sends)
+                             : options_.most_sends;
+  if (end.sends >= most_sends ||
       now + LeastServiceTime(offer.urgency) >= offer.deadline) {
     return false;
   }
@@ -296,7 +299,9 @@
   return table_.NextProbe(now);
 }
 
-void ServiceBalancer::ProbeFailed(EndpointIndex endpoint, TimePoint now) {
+void ServiceBalancer::ProbeFailed(EndpointIndex endpoint,
+                                  TimePoint now,
+                                  Decisions& /*out*/) {
   table_.ProbeFailed(endpoint, now);
 }
 
--- a/policy/service_balancer.h
+++ b/policy/service_balancer.h
@@ -10,6 +10,7 @@
 #include "core/random.h"
 #include "core/time.h"
 #include "policy/admission_queue.h"
+#include "policy/balancer.h"
 #include "policy/call.h"
 #include "policy/call_offer.h"
 #include "policy/endpoint_report.h"
@@ -21,32 +22,6 @@
 
 namespace damasktack {
 
-// One finished send.
-struct SendEnd {
-  CallToken token = 0;
-  EndpointIndex endpoint = 0;
-  SendResult result = SendResult::kAnswered;
-  // From the start of the send to its end.
-  Duration took{};
-  std::optional<EndpointReport> report;
-  // The answer went through a damasktack closer to the failure, which has
-  // had its chance to send the call again.
-  bool retried_deeper = false;
-  // Sends of this call so far, this one included.
-  int sends = 1;
-};
-
-// What to do with a call whose send has ended.
-enum class AfterSend : std::uint8_t { kDone, kRetry };
-
-struct BalancerStatus {
-  EndpointTableStatus table;
-  std::size_t waiting = 0;
-  std::array<std::size_t, kUrgencyCount> waiting_by_urgency{};
-  std::uint64_t retries_granted = 0;
-  std::uint64_t retries_withheld = 0;
-};
-
 struct BalancerOptions {
   EndpointTableOptions table;
   std::int64_t most_waiting = 4096;
@@ -62,46 +37,36 @@
   Duration lone_send_pause = std::chrono::milliseconds(50);
 };
 
-// All decisions for one service on one host: who waits, who is sent where,
-// what is measured, what is tried again. Pure: no clock, sockets or threads;
-// the owner serialises the calls and carries out what comes back.
-class ServiceBalancer {
+// Balances by what this host's own calls and the reports on their answers tell,
+// for services with many more calls than endpoints in each execution's time.
+class ServiceBalancer : public Balancer {
  public:
   ServiceBalancer(BalancerOptions options, std::uint64_t seed);
 
-  // Follows the published list. Indexes of endpoints that stay are kept.
-  // `hosts` is the number of entry hosts that share the endpoints.
   void SetService(const ServiceSpec& service,
                   std::int64_t hosts,
-                  TimePoint now);
-
-  // Takes a call in; `out` may hold its dispatch or rejection at once.
-  void Offer(const CallOffer& offer, TimePoint now, Decisions& out);
-  // Takes a waiting call out, when its caller went away. False where the call
-  // is not waiting.
-  bool Withdraw(CallToken token, TimePoint now);
-  // Frees the endpoint's place and says whether the call may be sent again;
-  // kRetry puts the call back among the waiting.
+                  TimePoint now) override;
+  void Offer(const CallOffer& offer, TimePoint now, Decisions& out) override;
+  bool Withdraw(CallToken token, TimePoint now) override;
   AfterSend Finish(const CallOffer& offer,
                    const SendEnd& end,
                    TimePoint now,
-                   Decisions& out);
+                   Decisions& out) override;
   void Report(EndpointIndex endpoint,
               const EndpointReport& report,
               TimePoint now,
-              Decisions& out);
-  // Another host has seen the endpoint drain.
-  void HearDrain(const EndpointId& id, TimePoint now);
-  // Time passes: refuses what missed its deadline, sends what may go now.
-  void Tick(TimePoint now, Decisions& out);
-  // The next endpoint worth a probe, if the budget allows one now.
-  std::optional<EndpointIndex> NextProbe(TimePoint now);
-  // A probe that was sent brought no report.
-  void ProbeFailed(EndpointIndex endpoint, TimePoint now);
+              Decisions& out) override;
+  void HearDrain(const EndpointId& id, TimePoint now) override;
+  void Tick(TimePoint now, Decisions& out) override;
+  std::optional<EndpointIndex> NextProbe(TimePoint now) override;
+  bool probes_while_quiet() const override { return true; }
+  void ProbeFailed(EndpointIndex endpoint,
+                   TimePoint now,
+                   Decisions& out) override;
 
-  const EndpointSpec& endpoint(EndpointIndex index) const;
-  std::size_t waiting() const;
-  BalancerStatus Status(TimePoint now) const;
+  const EndpointSpec& endpoint(EndpointIndex index) const override;
+  std::size_t waiting() const override;
+  BalancerStatus Status(TimePoint now) const override;
 
  private:
   void Admit(WaitingCall call, TimePoint now, Decisions& out);
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "policy/call_outcome.h"
+#include "policy/target_choice.h"
 #include "proxy/header_rewrite.h"
 #include "proxy/request_check.h"
 
@@ -19,6 +20,9 @@
 constexpr std::int64_t kDeepest = 32;
 constexpr std::int64_t kMostAttempts = 1000;
 constexpr std::chrono::milliseconds kLeastTimeToSend(1);
+// An answer has to reach its caller before the caller's deadline, which began
+// before the request arrived: both ways, with some room.
+constexpr std::chrono::milliseconds kWayBack(10);
 
 std::string MakeCallId() {
   thread_local Random random(std::random_device{}());
@@ -28,6 +32,17 @@
   return {buf.data(), end};
 }
 
+// What a caller allows by its own header; without one, any time.
+Duration AskedTime(const http::fields& request, const ProtocolNames& names) {
+  constexpr std::int64_t kMostMs = 24LL * 3600 * 1000;
+  const auto asked = ReadNumber(request, names.deadline).value_or(kMostMs);
+  return std::chrono::milliseconds(std::min(asked, kMostMs));
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
 std::uint64_t DigestOf(const HttpRequest& request) {
   const std::string text = std::string(request.method_string()) + "\n" +
                            std::string(request.target()) + "\n" +
@@ -36,8 +51,9 @@
 }
 
 // Whether a damasktack nearer to the failure has answered this before.
-bool WentThroughAnotherHop(const ExchangeResult& sent) {
-  return sent.answer && sent.answer->count(ToBeast(kOutcomeHeader)) > 0;
+bool WentThroughAnotherHop(const ExchangeResult& sent,
+                           const ProtocolNames& names) {
+  return sent.answer && sent.answer->count(names.outcome) > 0;
 }
 
 // What the outcome of the call has to know: a send that ended before its first
@@ -142,7 +158,7 @@
     : state_(state),
       loop_(loop),
       wake_(loop.context()),
-      call_id_(MakeCallId()) {}
+      call_id_(names().callers_name_calls ? std::string() : MakeCallId()) {}
 
 void CallHandler::CallerGone() {
   caller_gone_ = true;
@@ -151,7 +167,7 @@
     return;
   }
   if (dispatcher_ && dispatcher_->Withdraw(offer_.token, Clock::now())) {
-    placement_ = Placement{Refusal::kDeadline, 0, {}};
+    placement_ = Placement{Refusal::kDeadline, 0, {}, {}};
     wake_.cancel();
   }
 }
@@ -179,7 +195,7 @@
   while (!placement_) {
     const bool late = Clock::now() >= offer_.deadline;
     if (late && dispatcher_->Withdraw(offer_.token, Clock::now())) {
-      co_return Placement{Refusal::kDeadline, 0, {}};
+      co_return Placement{Refusal::kDeadline, 0, {}, {}};
     }
     // Where the withdrawal comes too late the placement is on its way.
     const TimePoint until = late ? TimePoint::max() : offer_.deadline;
@@ -194,12 +210,7 @@
                             const RequestClass& request_class,
                             const HttpRequest& request) {
   Duration allowed = request_class.deadline;
-  const auto asked = ReadNumber(request, kDeadlineHeader);
-  const auto longest =
-      std::chrono::duration_cast<std::chrono::milliseconds>(allowed).count();
-  if (asked && *asked < longest) {
-    allowed = std::chrono::milliseconds(*asked);
-  }
+  allowed = std::min(allowed, AskedTime(request, names()));
   offer_.customer = contract.customer;
   offer_.share = contract.share;
   offer_.urgency = request_class.urgency;
@@ -209,13 +220,31 @@
   offer_.retry_percent = contract.retry_percent;
   // A repeat by an earlier hop keeps its number, so that each hop after it
   // knows not to repeat it once more.
-  const auto attempt = ReadNumber(request, kAttemptHeader).value_or(1);
+  const auto attempt = ReadNumber(request, names().attempt).value_or(1);
   offer_.is_repeat = attempt > 1;
   attempt_ = std::clamp<std::int64_t>(attempt, 1, kMostAttempts) - 1;
   offer_.deadline = offer_.arrival + allowed;
+  offer_.on_time_until = offer_.deadline;
 }
 
-asio::awaitable<CallHandler::Ending> CallHandler::Route(HttpRequest& request) {
+void CallHandler::FillOffer(const Route& route, const HttpRequest& request) {
+  const Contract& contract = route.contract;
+  offer_.customer = contract.customer;
+  offer_.share = contract.share;
+  offer_.urgency = route.urgency;
+  offer_.when_short = contract.when_short;
+  offer_.waiting_limit = contract.limits.waiting_per_host;
+  offer_.idempotent = route.idempotent;
+  offer_.retry_percent = contract.retry_percent;
+  offer_.most_sends = route.most_sends;
+  const Duration asked = AskedTime(request, names());
+  offer_.deadline =
+      offer_.arrival + std::min(route.timeout, asked - kWayBack);
+  offer_.on_time_until =
+      std::min(offer_.deadline, offer_.arrival + route.latency_objective);
+}
+
+asio::awaitable<CallHandler::Ending> CallHandler::Admit(HttpRequest& request) {
   // A process that was stopped still holds the contracts of before, and calls
   // that came meanwhile are its first work: a customer whose contract is gone
   // would be served. The fleet's loop counts as current only while it turns,
@@ -223,6 +252,35 @@
   if (!state_.IsCurrent()) {
     co_return Ending::NotRun(MakeFailure(FailureKind::kNotCurrent));
   }
+  if (routing_->has_routes()) {
+    co_return co_await RouteByHost(request);
+  }
+  co_return co_await RouteByContract(request);
+}
+
+asio::awaitable<CallHandler::Ending> CallHandler::RouteByHost(
+    HttpRequest& request) {
+  call_id_ = CallId(std::string(request[names().call]));
+  const Route* route =
+      routing_->FindRoute(FromBeast(request[http::field::host]),
+                          PathOf(FromBeast(request.target())));
+  if (route == nullptr) {
+    co_return Ending::NotRun(MakeFailure(FailureKind::kNoRoute));
+  }
+  contract_ = &route->contract;
+  FillOffer(*route, request);
+  thread_local Random random(std::random_device{}());
+  const ServiceId& target = ChooseTarget(*route, random);
+  service_ = routing_->FindServiceById(target);
+  dispatcher_ = state_.FindDispatcher(target);
+  if (service_ == nullptr || !dispatcher_) {
+    co_return Ending::NotRun(MakeFailure(FailureKind::kNoEndpoint));
+  }
+  co_return co_await SendUntilDone(request);
+}
+
+asio::awaitable<CallHandler::Ending> CallHandler::RouteByContract(
+    HttpRequest& request) {
   const std::string path = PathForRules(FromBeast(request.target()));
   contract_ = routing_->FindContract(FromBeast(request[ToBeast(kKeyHeader)]));
   if (contract_ == nullptr) {
@@ -239,7 +297,7 @@
     co_return Ending::NotRun(MakeFailure(FailureKind::kNotInContract));
   }
   FillOffer(*contract_, *request_class, request);
-  if (ReadNumber(request, kDepthHeader).value_or(0) >= kDeepest) {
+  if (ReadNumber(request, names().depth).value_or(0) >= kDeepest) {
     co_return Ending::NotRun(MakeFailure(FailureKind::kTooDeep));
   }
   dispatcher_ = state_.FindDispatcher(service_->id);
@@ -339,11 +397,13 @@
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
       offer_.deadline - Clock::now());
   ++attempt_;
-  request.set(ToBeast(kDeadlineHeader), std::to_string(remaining.count()));
-  request.set(ToBeast(kAttemptHeader), std::to_string(attempt_));
+  SetNamed(request, names().deadline, std::to_string(remaining.count()));
+  SetNamed(request, names().attempt, std::to_string(attempt_));
+  SetNamed(request, names().expected_endpoint, placement.target.id.text());
   exchange_ = std::make_shared<EndpointExchange>(loop_.context().get_executor(),
                                                  loop_.pool(), placement.target,
-                                                 state_.options().exchange);
+                                                 state_.options().exchange,
+                                                 names());
   if (claim_) {
     claim_->MarkSent();
   }
@@ -362,8 +422,8 @@
 
 asio::awaitable<CallHandler::Ending> CallHandler::SendUntilDone(
     HttpRequest& request) {
-  const auto depth = ReadNumber(request, kDepthHeader).value_or(0);
-  PrepareForEndpoint(request, call_id_, depth + 1);
+  const auto depth = ReadNumber(request, names().depth).value_or(0);
+  PrepareForEndpoint(request, call_id_, depth + 1, names());
   CallOutcome call(offer_.idempotent);
   // Why the last send that may have run brought no answer.
   std::optional<FailureKind> unsure;
@@ -382,7 +442,11 @@
     const Placement placement = co_await AwaitPlacement();
     if (placement.refusal != Refusal::kNone) {
       call.OnRefused();
-      co_return give_up(KindOf(placement.refusal));
+      Ending ending = give_up(KindOf(placement.refusal));
+      if (placement.retry_after > Duration::zero()) {
+        ending.failure.retry_after = placement.retry_after;
+      }
+      co_return ending;
     }
     if (!MaySend()) {
       const bool is_back = GiveBack(placement);
@@ -403,7 +467,7 @@
                       .result = sent.result,
                       .took = sent.took,
                       .report = sent.report,
-                      .retried_deeper = WentThroughAnotherHop(sent),
+                      .retried_deeper = WentThroughAnotherHop(sent, names()),
                       .sends = ++sends};
     const AfterSend after =
         dispatcher_->Finish(offer_, end, MakeOnPlaced(), Clock::now());
@@ -424,13 +488,15 @@
 HttpResponse CallHandler::Render(const HttpRequest& request, Ending ending) {
   if (!ending.answer) {
     state_.counters().CountFailure(ending.failure.kind);
-    return RenderFailure(ending.failure, ending.outcome, call_id_);
+    return RenderFailure(ending.failure, ending.outcome, call_id_, names());
   }
   HttpResponse response = std::move(*ending.answer);
-  PrepareForCaller(response, request.method() == http::verb::head);
+  PrepareForCaller(response, request.method() == http::verb::head, names());
   response.version(11);
-  response.set(ToBeast(kOutcomeHeader), ToBeast(ToString(ending.outcome)));
-  response.set(ToBeast(kCallHeader), call_id_.text());
+  SetNamed(response, names().outcome, ToString(ending.outcome));
+  if (!call_id_.empty()) {
+    SetNamed(response, names().call, call_id_.text());
+  }
   return response;
 }
 
@@ -439,7 +505,7 @@
   offer_.token = state_.NextToken();
   offer_.arrival = Clock::now();
   routing_ = state_.routing();
-  Ending ending = co_await Route(request);
+  Ending ending = co_await Admit(request);
   const Duration total = Clock::now() - offer_.arrival;
   state_.metrics().Record({offer_.customer, offer_.urgency},
                           {ending.outcome, total, total - at_endpoints_});
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -28,7 +28,9 @@
   struct Ending;
   struct ClaimEnd;
 
-  asio::awaitable<Ending> Route(HttpRequest& request);
+  asio::awaitable<Ending> Admit(HttpRequest& request);
+  asio::awaitable<Ending> RouteByContract(HttpRequest& request);
+  asio::awaitable<Ending> RouteByHost(HttpRequest& request);
   asio::awaitable<Ending> Claimed(HttpRequest& request);
   asio::awaitable<std::shared_ptr<ClaimEnd>> AwaitClaim(ClaimRequest claim);
   asio::awaitable<Ending> SendUntilDone(HttpRequest& request);
@@ -46,6 +48,8 @@
   void FillOffer(const Contract& contract,
                  const RequestClass& request_class,
                  const HttpRequest& request);
+  void FillOffer(const Route& route, const HttpRequest& request);
+  const ProtocolNames& names() const { return state_.options().names; }
 
   ProxyState& state_;
   ProxyLoop& loop_;
@@ -55,6 +59,7 @@
   const ServiceSpec* service_ = nullptr;
   std::shared_ptr<ServiceDispatcher> dispatcher_;
   CallOffer offer_;
+  // The caller's own name of the call, where callers name their calls.
   CallId call_id_;
   std::optional<Placement> placement_;
   std::shared_ptr<ClaimEnd> claim_end_;
--- a/proxy/caller_server.cc
+++ b/proxy/caller_server.cc
@@ -18,6 +18,8 @@
 constexpr Duration kExpireInterval = std::chrono::seconds(1);
 // Between two looks at queues while none holds a call.
 constexpr Duration kQuietTick = std::chrono::milliseconds(10);
+// The same where nothing is measured while no call waits.
+constexpr Duration kIdleTick = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -55,6 +57,8 @@
   }
   BOOST_LEAF_CHECK(Listen());
   asio::io_context& first = loops_.front()->context();
+  tick_timer_ = std::make_unique<asio::steady_timer>(first);
+  state_.SetOnWaiting([this] { OnWaiting(); });
   asio::co_spawn(first, Accept(), asio::detached);
   asio::co_spawn(first, TickLoop(), asio::detached);
   for (const auto& it : loops_) {
@@ -113,34 +117,52 @@
 }
 
 asio::awaitable<void> CallerServer::TickLoop() {
-  asio::steady_timer timer(loops_.front()->context());
-  Duration pause = state_.options().tick;
   while (true) {
     boost::system::error_code ec;
-    timer.expires_after(pause);
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    const bool waiting = TickServices(Clock::now());
     // Waking every 2 ms for queues that are empty was most of what a quiet
     // host spent on control.
-    pause = waiting ? state_.options().tick
-                    : std::max(state_.options().tick, kQuietTick);
+    tick_timer_->expires_after(is_quiet_ ? QuietPause()
+                                         : state_.options().tick);
+    co_await tick_timer_->async_wait(
+        asio::redirect_error(asio::use_awaitable, ec));
+    is_quiet_ = !TickServices(Clock::now());
   }
 }
 
+Duration CallerServer::QuietPause() const {
+  const auto dispatchers = state_.dispatchers();
+  const bool probes = std::ranges::any_of(dispatchers, [](const auto& it) {
+    return it.second->probes_while_quiet();
+  });
+  return std::max(state_.options().tick, probes ? kQuietTick : kIdleTick);
+}
+
+void CallerServer::OnWaiting() {
+  loops_.front()->door()->Post([this] {
+    for (const auto& [id, dispatcher] : state_.dispatchers()) {
+      if (!dispatcher->probes_while_quiet()) {
+        StartProbes(dispatcher, Clock::now());
+      }
+    }
+    if (std::exchange(is_quiet_, false)) {
+      tick_timer_->cancel();
+    }
+  });
+}
+
 bool CallerServer::TickServices(TimePoint now) {
   bool waiting = false;
   for (const auto& [id, dispatcher] : state_.dispatchers()) {
     waiting = dispatcher->Tick(now) || waiting;
-    StartProbe(dispatcher, now);
+    StartProbes(dispatcher, now);
   }
   return waiting;
 }
 
-void CallerServer::StartProbe(
+void CallerServer::StartProbes(
     const std::shared_ptr<ServiceDispatcher>& dispatcher,
     TimePoint now) {
-  const std::optional<ProbeOrder> order = dispatcher->NextProbe(now);
-  if (order) {
+  while (const std::optional<ProbeOrder> order = dispatcher->NextProbe(now)) {
     asio::co_spawn(loops_.front()->context(), Probe(dispatcher, *order),
                    asio::detached);
   }
@@ -150,11 +172,11 @@
     std::shared_ptr<ServiceDispatcher> dispatcher,
     ProbeOrder order) {
   ProxyLoop& loop = *loops_.front();
-  HttpRequest request(http::verb::get, ToBeast(kProbePath), 11);
+  HttpRequest request(http::verb::get, ToBeast(order.target.health_path), 11);
   request.set(http::field::host, ToString(order.target.address));
   const auto exchange = std::make_shared<EndpointExchange>(
       loop.context().get_executor(), loop.pool(), order.target,
-      state_.options().exchange);
+      state_.options().exchange, state_.options().names);
   const TimePoint deadline =
       Clock::now() + state_.options().exchange.connect_timeout;
   const ExchangeResult result = co_await exchange->Run(request, deadline, "");
@@ -184,6 +206,7 @@
   // The acceptor belongs to the first loop. With the loops end the calls that
   // were cut, and settle their claims while the gate is still there.
   acceptor_.reset();
+  tick_timer_.reset();
   loops_.clear();
 }
 
--- a/proxy/caller_server.h
+++ b/proxy/caller_server.h
@@ -34,17 +34,24 @@
   asio::awaitable<void> Accept();
   void Admit(Tcp::socket socket, ProxyLoop& loop);
   asio::awaitable<void> TickLoop();
+  // Calls have begun to wait: sends the probes that they need, and looks after
+  // them more often.
+  void OnWaiting();
   asio::awaitable<void> ExpireLoop(ProxyLoop& loop);
   asio::awaitable<void> Probe(std::shared_ptr<ServiceDispatcher> dispatcher,
                               ProbeOrder order);
   // Whether any call waits.
   bool TickServices(TimePoint now);
-  void StartProbe(const std::shared_ptr<ServiceDispatcher>& dispatcher,
-                  TimePoint now);
+  Duration QuietPause() const;
+  void StartProbes(const std::shared_ptr<ServiceDispatcher>& dispatcher,
+                   TimePoint now);
 
   ProxyState& state_;
   std::vector<std::unique_ptr<ProxyLoop>> loops_;
   std::unique_ptr<Tcp::acceptor> acceptor_;
+  // Of the first loop.
+  std::unique_ptr<asio::steady_timer> tick_timer_;
+  bool is_quiet_ = false;
   std::uint16_t port_ = 0;
   std::size_t next_loop_ = 0;
   // Connections that only learn that there are too many.
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -19,9 +19,16 @@
 // way of a request that has been sent, short against a stop.
 constexpr Duration kIdleWhileStopping = std::chrono::milliseconds(500);
 constexpr Duration kLongestLinger = std::chrono::seconds(1);
-constexpr Duration kWatchInterval = std::chrono::milliseconds(20);
+constexpr Duration kPollInterval = std::chrono::milliseconds(20);
+// Requests of one connection that are served at a time; more wait unread.
+constexpr std::size_t kMostTurns = 16;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
+bool IsSafe(http::verb method) {
+  return method == http::verb::get || method == http::verb::head ||
+         method == http::verb::options;
+}
+
 bool IsHungUp(Tcp::socket& socket) {
   pollfd state{socket.native_handle(), POLLRDHUP, 0};
   return poll(&state, 1, 0) > 0;
@@ -80,7 +87,8 @@
       state_(state),
       loop_(loop),
       timer_(socket_.get_executor()),
-      watch_timer_(socket_.get_executor()) {}
+      write_timer_(socket_.get_executor()),
+      changed_(socket_.get_executor()) {}
 
 void CallerSession::ArmTimer(Duration timeout) {
   timed_out_ = false;
@@ -88,10 +96,16 @@
   timer_.async_wait([self = shared_from_this()](boost::system::error_code ec) {
     // A handler that was already queued when the timer was set anew must not
     // end the next wait.
-    if (!ec && self->timer_.expiry() <= Clock::now()) {
-      self->timed_out_ = true;
-      self->socket_.cancel(ec);
+    if (ec || self->timer_.expiry() > Clock::now()) {
+      return;
     }
+    // Cancelling would cut an earlier answer that is being written.
+    if (self->is_writing_) {
+      self->ArmTimer(kPollInterval);
+      return;
+    }
+    self->timed_out_ = true;
+    self->socket_.cancel(ec);
   });
 }
 
@@ -99,45 +113,28 @@
   timer_.expires_at(TimePoint::max());
 }
 
-void CallerSession::WatchCaller(const std::shared_ptr<CallHandler>& handler) {
-  watched_ = handler;
-  socket_.async_wait(
-      Tcp::socket::wait_read,
-      [self = shared_from_this(), handler](boost::system::error_code ec) {
-        if (!ec && self->watched_ == handler) {
-          self->WatchCallerLater(handler);
-        }
-      });
-}
-
-// A readable connection is one that closed, or one with the bytes of a next
-// request; these stay unread until this answer is written and would hide a
-// close that follows, so it is looked for again and again.
-void CallerSession::WatchCallerLater(
-    const std::shared_ptr<CallHandler>& handler) {
-  if (IsHungUp(socket_)) {
-    handler->CallerGone();
-    return;
+void CallerSession::Lose() {
+  lost_ = true;
+  for (const TurnPtr& it : turns_) {
+    if (it->handler) {
+      it->handler->CallerGone();
+    }
   }
-  watch_timer_.expires_after(kWatchInterval);
-  watch_timer_.async_wait(
-      [self = shared_from_this(), handler](boost::system::error_code ec) {
-        if (!ec && self->watched_ == handler) {
-          self->WatchCallerLater(handler);
-        }
-      });
+  changed_.cancel();
 }
 
-void CallerSession::StopWatching() {
-  watched_.reset();
-  watch_timer_.cancel();
-  boost::system::error_code ec;
-  socket_.cancel(ec);
+void CallerSession::BeginIdle() {
+  Duration patience = state_.bounds().idle_timeout;
+  if (state_.stopping()) {
+    patience = std::min(patience, kIdleWhileStopping);
+  }
+  is_idle_ = true;
+  ArmTimer(patience);
 }
 
 void CallerSession::OnStopping() {
   if (is_idle_) {
-    ArmTimer(std::min(kIdleWhileStopping, state_.options().idle_timeout));
+    ArmTimer(std::min(kIdleWhileStopping, state_.bounds().idle_timeout));
   }
 }
 
@@ -154,23 +151,25 @@
     buf_.shrink_to_fit();
   }
   boost::system::error_code ec;
-  Duration patience = state_.options().idle_timeout;
-  if (state_.stopping()) {
-    patience = std::min(patience, kIdleWhileStopping);
+  awaits_request_ = true;
+  if (turns_.empty()) {
+    BeginIdle();
   }
-  ArmTimer(patience);
-  is_idle_ = true;
   co_await socket_.async_wait(Tcp::socket::wait_read,
                               asio::redirect_error(asio::use_awaitable, ec));
+  awaits_request_ = false;
   is_idle_ = false;
+  if (lost_ || is_closing_) {
+    co_return false;
+  }
   if (!ec || HasMoreRequests()) {
     co_return true;
   }
   // A request may be on its way while the connection is closed. With a plain
   // close its caller could not tell whether it ran; this answer, which stands
   // before the close, tells it that it did not.
-  if (timed_out_) {
-    co_await Refuse(MakeFailure(FailureKind::kIdleTimeout));
+  if (timed_out_ && !state_.options().names.closes_idle_silently) {
+    Refuse(MakeFailure(FailureKind::kIdleTimeout));
   }
   co_return false;
 }
@@ -178,7 +177,7 @@
 asio::awaitable<std::optional<Failure>> CallerSession::ReadHead(
     Parser& parser) {
   const auto most =
-      static_cast<std::size_t>(state_.options().request_header_bytes);
+      static_cast<std::size_t>(state_.bounds().header_bytes);
   std::size_t end = std::string_view::npos;
   while (end == std::string_view::npos) {
     const std::string_view text = TextOf(buf_);
@@ -224,8 +223,8 @@
     Parser& parser) {
   boost::system::error_code ec;
   const auto length = parser.content_length();
-  if (length && *length > static_cast<std::uint64_t>(
-                              state_.options().request_body_bytes)) {
+  if (length &&
+      *length > static_cast<std::uint64_t>(state_.bounds().body_bytes)) {
     co_return MakeFailure(FailureKind::kBodyTooLarge);
   }
   if (parser.is_done()) {
@@ -234,6 +233,7 @@
   const bool waits = parser.get().count(http::field::expect) > 0 &&
                      parser.get().version() == 11 && buf_.size() == 0;
   if (waits) {
+    co_await AwaitTurns(1);
     co_await asio::async_write(socket_, asio::buffer(kContinue),
                                asio::redirect_error(asio::use_awaitable, ec));
   }
@@ -263,13 +263,12 @@
 
 asio::awaitable<std::optional<Failure>> CallerSession::ReadRequest(
     Parser& parser) {
-  parser.header_limit(
-      static_cast<std::uint32_t>(state_.options().request_header_bytes) +
-      static_cast<std::uint32_t>(kEndOfHead.size()));
-  parser.body_limit(
-      static_cast<std::uint64_t>(state_.options().request_body_bytes));
+  const CallerLimits bounds = state_.bounds();
+  parser.header_limit(static_cast<std::uint32_t>(bounds.header_bytes) +
+                      static_cast<std::uint32_t>(kEndOfHead.size()));
+  parser.body_limit(static_cast<std::uint64_t>(bounds.body_bytes));
   parser.eager(true);
-  ArmTimer(state_.options().request_timeout);
+  ArmTimer(bounds.header_timeout);
   std::optional<Failure> failure = co_await ReadHead(parser);
   if (!failure) {
     failure = co_await ReadBody(parser);
@@ -284,28 +283,95 @@
     co_return false;
   }
   Parser parser;
+  is_reading_ = true;
   std::optional<Failure> failure = co_await ReadRequest(parser);
-  if (lost_) {
+  if (lost_ || is_closing_) {
     co_return false;
   }
   if (failure) {
-    co_await Refuse(std::move(*failure));
+    Refuse(std::move(*failure));
+    co_return false;
+  }
+  co_return co_await Begin(parser.release());
+}
+
+asio::awaitable<void> CallerSession::AwaitTurns(std::size_t most) {
+  while (!lost_ && turns_.size() >= most) {
+    boost::system::error_code ec;
+    changed_.expires_after(kPollInterval);
+    co_await changed_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    // Nothing is read meanwhile that would tell of a close.
+    if (!lost_ && IsHungUp(socket_)) {
+      Lose();
+    }
+  }
+}
+
+asio::awaitable<bool> CallerSession::Begin(HttpRequest request) {
+  const auto turn = std::make_shared<Turn>();
+  turn->wants_more = request.keep_alive();
+  turn->head_only = request.method() == http::verb::head;
+  turn->is_safe = IsSafe(request.method());
+  const bool waits_for_all =
+      !turn->is_safe || (!turns_.empty() && !turns_.back()->is_safe);
+  co_await AwaitTurns(waits_for_all ? 1 : kMostTurns);
+  if (lost_ || is_closing_) {
     co_return false;
   }
-  co_return co_await Answer(parser.release());
+  turn->handler = std::make_shared<CallHandler>(state_, loop_);
+  is_reading_ = false;
+  turns_.push_back(turn);
+  asio::co_spawn(socket_.get_executor(), Answer(turn, std::move(request)),
+                 asio::detached);
+  co_return turn->wants_more;
+}
+
+asio::awaitable<void> CallerSession::Answer(TurnPtr turn, HttpRequest request) {
+  const auto self = shared_from_this();
+  turn->response = co_await turn->handler->Handle(std::move(request));
+  turn->handler.reset();
+  co_await WriteReady();
+}
+
+// A request that has already arrived is answered before the stop.
+bool CallerSession::StaysOpenAfter(const Turn& turn) {
+  return turn.wants_more &&
+         (!state_.stopping() || turns_.size() > 1 || is_reading_ ||
+          HasMoreRequests());
+}
+
+asio::awaitable<void> CallerSession::WriteReady() {
+  if (is_writing_) {
+    co_return;
+  }
+  is_writing_ = true;
+  while (!turns_.empty() && turns_.front()->response) {
+    const TurnPtr turn = turns_.front();
+    const bool stays = StaysOpenAfter(*turn);
+    if (!lost_ && !is_closing_) {
+      is_closing_ = !stays;
+      const bool written = co_await Write(std::move(*turn->response), stays,
+                                          turn->head_only);
+      if (!written) {
+        Lose();
+      }
+    }
+    turns_.pop_front();
+  }
+  is_writing_ = false;
+  EndWriting();
 }
 
-asio::awaitable<bool> CallerSession::Answer(HttpRequest request) {
-  const bool wants_more = request.keep_alive();
-  const bool head_only = request.method() == http::verb::head;
-  const auto handler = std::make_shared<CallHandler>(state_, loop_);
-  WatchCaller(handler);
-  HttpResponse response = co_await handler->Handle(std::move(request));
-  StopWatching();
-  // A request that has already arrived is answered before the stop.
-  const bool keep_alive =
-      wants_more && (!state_.stopping() || HasMoreRequests());
-  co_return co_await Write(std::move(response), keep_alive, head_only);
+void CallerSession::EndWriting() {
+  changed_.cancel();
+  if ((lost_ || is_closing_) && awaits_request_) {
+    boost::system::error_code ec;
+    socket_.cancel(ec);
+    return;
+  }
+  if (turns_.empty() && awaits_request_) {
+    BeginIdle();
+  }
 }
 
 asio::awaitable<bool> CallerSession::Write(HttpResponse response,
@@ -314,7 +380,13 @@
   response.keep_alive(keep_alive);
   SetLength(response, head_only);
   boost::system::error_code ec;
-  ArmTimer(state_.options().request_timeout);
+  write_timer_.expires_after(state_.bounds().header_timeout);
+  write_timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code timer_ec) {
+        if (!timer_ec && self->write_timer_.expiry() <= Clock::now()) {
+          self->socket_.cancel(timer_ec);
+        }
+      });
   http::response_serializer<http::string_body> serializer(response);
   if (head_only) {
     serializer.split(true);
@@ -324,15 +396,24 @@
     co_await http::async_write(socket_, serializer,
                                asio::redirect_error(asio::use_awaitable, ec));
   }
-  DisarmTimer();
-  lost_ = static_cast<bool>(ec);
-  co_return !ec && keep_alive;
+  write_timer_.expires_at(TimePoint::max());
+  co_return !ec;
 }
 
-asio::awaitable<void> CallerSession::Refuse(Failure failure) {
+// Its answer goes out after those of the requests before it, and ends the
+// connection.
+void CallerSession::Refuse(Failure failure) {
   state_.counters().CountFailure(failure.kind);
-  HttpResponse response = RenderFailure(failure, Outcome::kNotRun, {});
-  co_await Write(std::move(response), false, false);
+  const auto turn = std::make_shared<Turn>();
+  turn->response = RenderFailure(failure, Outcome::kNotRun, {},
+                                 state_.options().names);
+  turns_.push_back(turn);
+  asio::co_spawn(
+      socket_.get_executor(),
+      [self = shared_from_this()]() -> asio::awaitable<void> {
+        co_await self->WriteReady();
+      },
+      asio::detached);
 }
 
 asio::awaitable<void> CallerSession::Linger() {
@@ -355,12 +436,26 @@
   const Registration registration(loop_.sessions(), this);
   while (co_await ServeOne()) {
   }
+  if (lost_) {
+    Lose();
+  }
+  // Also without its caller a call has to end before the connection does.
+  while (!turns_.empty()) {
+    co_await AwaitTurns(1);
+    boost::system::error_code ec;
+    if (!turns_.empty()) {
+      changed_.expires_after(kPollInterval);
+      co_await changed_.async_wait(
+          asio::redirect_error(asio::use_awaitable, ec));
+    }
+  }
   co_await Linger();
 }
 
 asio::awaitable<void> CallerSession::RunRefusal() {
   const auto self = shared_from_this();
-  co_await Refuse(MakeFailure(FailureKind::kTooManyConnections));
+  Refuse(MakeFailure(FailureKind::kTooManyConnections));
+  co_await AwaitTurns(1);
   co_await Linger();
 }
 
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -9,10 +9,14 @@
 
 namespace {
 
+constexpr unsigned kFirstClientError = 400;
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kInformational = 1;
 // More interim answers than this before the final one are a fault.
 constexpr int kMostInterim = 16;
+// Answers to other calls that are passed over before the connection is given
+// up.
+constexpr int kMostStrays = 4;
 // A request up to this size fits into the kernel's buffers, so that writing it
 // never waits for the endpoint.
 constexpr std::size_t kOneWrite = 16U << 10U;
@@ -39,10 +43,12 @@
 EndpointExchange::EndpointExchange(asio::any_io_executor executor,
                                    EndpointPool& pool,
                                    EndpointTarget target,
-                                   ExchangeLimits limits)
+                                   ExchangeLimits limits,
+                                   const ProtocolNames& names)
     : pool_(pool),
       target_(std::move(target)),
       limits_(limits),
+      names_(names),
       socket_(executor),
       timer_(executor) {}
 
@@ -135,7 +141,6 @@
 // Null where no whole answer came.
 asio::awaitable<std::optional<HttpResponse>> EndpointExchange::ReadAnswer(
     bool to_head) {
-  beast::flat_buffer buf;
   for (int n = 0; n < kMostInterim; ++n) {
     http::response_parser<http::string_body> parser;
     parser.body_limit(limits_.answer_bytes);
@@ -143,30 +148,83 @@
     parser.skip(to_head);
     boost::system::error_code ec;
     bytes_ += co_await http::async_read(
-        socket_, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+        socket_, buf_, parser, asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
       co_return std::nullopt;
     }
     if (parser.get().result_int() / 100 == kInformational) {
       continue;
     }
-    if (!EndIsMarked(parser.get(), to_head)) {
+    if (!EndIsKnown(parser.get(), to_head)) {
       co_return std::nullopt;
     }
     HttpResponse answer = parser.release();
     // Bytes beyond the answer belong to nothing that was asked.
-    reusable_ = answer.keep_alive() && buf.size() == 0;
+    reusable_ = answer.keep_alive() && buf_.size() == 0;
     co_return answer;
   }
   co_return std::nullopt;
 }
 
+bool EndpointExchange::EndIsKnown(const HttpResponse& answer,
+                                  bool to_head) const {
+  const bool has_no_end = answer.count(http::field::content_length) == 0 &&
+                          answer.count(http::field::transfer_encoding) == 0;
+  return EndIsMarked(answer, to_head) ||
+         (has_no_end && names_.answers_may_end_with_connection);
+}
+
+// An endpoint may answer a call twice, and the second answer then stands where
+// the next call's is due: its caller would be told that the outcome is not
+// known although its own answer is right behind.
+asio::awaitable<std::optional<HttpResponse>> EndpointExchange::ReadOwnAnswer(
+    bool to_head,
+    const std::string& expected_call) {
+  for (int n = 0; n < kMostStrays; ++n) {
+    std::optional<HttpResponse> answer = co_await ReadAnswer(to_head);
+    if (!answer || expected_call.empty()) {
+      co_return answer;
+    }
+    const auto named = FromBeast((*answer)[names_.call]);
+    if (named == expected_call) {
+      co_return answer;
+    }
+    const bool is_refusal = Judge(*answer) == SendResult::kShed ||
+                            Judge(*answer) == SendResult::kNotConnected;
+    if (named.empty() && is_refusal) {
+      co_return answer;
+    }
+    if (named.empty() || !names_.answers_may_be_doubled ||
+        !answer->keep_alive()) {
+      co_return std::nullopt;
+    }
+  }
+  co_return std::nullopt;
+}
+
+std::optional<EndpointReport> EndpointExchange::ReadReport(
+    const HttpResponse& answer) const {
+  const auto load = FromBeast(answer[names_.load]);
+  if (load.empty()) {
+    return std::nullopt;
+  }
+  return names_.load_is_list ? ParseEndpointLoadList(load, Clock::now())
+                             : ParseEndpointLoad(load, Clock::now());
+}
+
 SendResult EndpointExchange::Judge(const HttpResponse& answer) const {
-  const bool is_error = answer.result_int() >= kFirstServerError;
-  if (is_error && answer[ToBeast(kShedHeader)] == "1") {
+  const bool is_error = answer.result_int() >= kFirstClientError;
+  if (is_error && answer[names_.shed] == "1") {
     return SendResult::kShed;
   }
-  return is_error ? SendResult::kFailed : SendResult::kAnswered;
+  // Another endpoint has the address now. As with a refused connection,
+  // nothing of the call has reached the one it was meant for.
+  if (answer.result() == http::status::misdirected_request &&
+      !names_.expected_endpoint.empty()) {
+    return SendResult::kNotConnected;
+  }
+  return answer.result_int() >= kFirstServerError ? SendResult::kFailed
+                                                   : SendResult::kAnswered;
 }
 
 asio::awaitable<SendResult> EndpointExchange::Transfer(
@@ -178,21 +236,13 @@
     co_return SendResult::kNotConnected;
   }
   const bool to_head = request.method() == http::verb::head;
-  std::optional<HttpResponse> answer = co_await ReadAnswer(to_head);
+  std::optional<HttpResponse> answer =
+      co_await ReadOwnAnswer(to_head, expected_call);
   reusable_ = reusable_ && sent_whole;
   if (!answer) {
     co_return SendResult::kBroken;
   }
-  if (!expected_call.empty() &&
-      FromBeast((*answer)[ToBeast(kCallHeader)]) != expected_call) {
-    // The answer of another call; so is whatever this connection brings next.
-    reusable_ = false;
-    co_return SendResult::kBroken;
-  }
-  const auto load = FromBeast((*answer)[ToBeast(kLoadHeader)]);
-  if (!load.empty()) {
-    out.report = ParseEndpointLoad(load, Clock::now());
-  }
+  out.report = ReadReport(*answer);
   const SendResult result = Judge(*answer);
   out.answer = std::move(answer);
   co_return result;
--- a/proxy/endpoint_exchange.h
+++ b/proxy/endpoint_exchange.h
@@ -39,7 +39,8 @@
   EndpointExchange(asio::any_io_executor executor,
                    EndpointPool& pool,
                    EndpointTarget target,
-                   ExchangeLimits limits);
+                   ExchangeLimits limits,
+                   const ProtocolNames& names);
 
   // Sends `request` and reads the whole answer, or ends by `deadline`. Where
   // `expected_call` is not empty the answer must repeat it.
@@ -55,6 +56,12 @@
   asio::awaitable<bool> Connect();
   asio::awaitable<bool> Send(const HttpRequest& request);
   asio::awaitable<std::optional<HttpResponse>> ReadAnswer(bool to_head);
+  // Reads on past answers that belong to other calls.
+  asio::awaitable<std::optional<HttpResponse>> ReadOwnAnswer(
+      bool to_head,
+      const std::string& expected_call);
+  bool EndIsKnown(const HttpResponse& answer, bool to_head) const;
+  std::optional<EndpointReport> ReadReport(const HttpResponse& answer) const;
   asio::awaitable<SendResult> Transfer(const HttpRequest& request,
                                        const std::string& expected_call,
                                        ExchangeResult& out);
@@ -69,7 +76,9 @@
   EndpointPool& pool_;
   const EndpointTarget target_;
   const ExchangeLimits limits_;
+  const ProtocolNames& names_;
   Tcp::socket socket_;
+  beast::flat_buffer buf_;
   asio::steady_timer timer_;
   TimePoint deadline_;
   std::optional<SendResult> aborted_;
--- a/proxy/endpoint_pool.h
+++ b/proxy/endpoint_pool.h
@@ -4,8 +4,10 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
+#include "core/ids.h"
 #include "core/json_reader.h"
 #include "core/time.h"
 #include "proxy/http_types.h"
@@ -17,6 +19,9 @@
 struct EndpointTarget {
   SocketAddress address;
   std::size_t connections = 1;
+  // Whom the request is meant for; the address may have passed to another.
+  EndpointId id = {};
+  std::string health_path = {};
 };
 
 // Idle connections to endpoints, for one I/O thread. Counts the ones in use
--- a/proxy/endpoint_report_codec.cc
+++ b/proxy/endpoint_report_codec.cc
@@ -1,5 +1,7 @@
 #include "proxy/endpoint_report_codec.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace damasktack {
@@ -61,8 +63,40 @@
   return true;
 }
 
+constexpr double kUsualPacePercent = 100;
+constexpr std::size_t kLeastFigures = 3;
+constexpr std::size_t kMostFigures = 4;
+
 }  // namespace
 
+std::optional<EndpointReport> ParseEndpointLoadList(std::string_view text,
+                                                    TimePoint now) {
+  std::array<std::int32_t, kMostFigures> figures{
+      0, 0, 0, static_cast<std::int32_t>(kUsualPacePercent)};
+  std::size_t n = 0;
+  while (n < kMostFigures) {
+    const std::size_t comma = text.find(',');
+    if (!ParseCount(Trim(text.substr(0, comma)), figures[n])) {
+      return std::nullopt;
+    }
+    ++n;
+    if (comma == std::string_view::npos) {
+      break;
+    }
+    text.remove_prefix(comma + 1);
+  }
+  if (n < kLeastFigures || figures[2] == 0) {
+    return std::nullopt;
+  }
+  EndpointReport report;
+  report.received_at = now;
+  report.in_flight = figures[0];
+  report.queued = figures[1];
+  report.slots = figures[2];
+  report.pace = std::max(1, figures[3]) / kUsualPacePercent;
+  return report;
+}
+
 std::optional<EndpointReport> ParseEndpointLoad(std::string_view text,
                                                 TimePoint now) {
   EndpointReport report;
--- a/proxy/failure.cc
+++ b/proxy/failure.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/json_reader.h"
+#include "proxy/header_rewrite.h"
 
 namespace damasktack {
 
@@ -51,6 +52,8 @@
      seconds(0)},
     {FailureKind::kNotInContract, "not-in-contract", http::status::forbidden,
      "check method and path against the contract's requests", seconds(0)},
+    {FailureKind::kNoRoute, "no-route", http::status::not_found,
+     "check host and path against the published routes", seconds(0)},
     {FailureKind::kTooDeep, "too-deep", http::status::loop_detected,
      "look for services that call each other in a ring", seconds(0)},
     {FailureKind::kDeadline, "deadline", http::status::gateway_timeout,
@@ -107,6 +110,17 @@
   return kRows[static_cast<std::size_t>(kind)];
 }
 
+std::string FormatRetryAfter(Duration wait, const ProtocolNames& names) {
+  if (!names.fractional_retry_after) {
+    return std::to_string(std::chrono::ceil<seconds>(wait).count());
+  }
+  const auto ms = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
+  constexpr std::int64_t kMsInSecond = 1000;
+  std::string rest = std::to_string(ms % kMsInSecond);
+  rest.insert(0, 3 - rest.size(), '0');
+  return std::to_string(ms / kMsInSecond) + "." + rest;
+}
+
 }  // namespace
 
 std::string_view ToString(FailureKind kind) {
@@ -158,7 +172,8 @@
 
 HttpResponse RenderFailure(const Failure& failure,
                            Outcome outcome,
-                           const CallId& call) {
+                           const CallId& call,
+                           const ProtocolNames& names) {
   const Row& row = RowOf(failure.kind);
   Json json{{"kind", row.name},
             {"remedy", row.remedy},
@@ -168,14 +183,14 @@
   }
   HttpResponse response(row.status, 11);
   response.set(http::field::content_type, "application/json");
-  response.set(ToBeast(kOutcomeHeader), ToBeast(ToString(outcome)));
+  SetNamed(response, names.outcome, ToString(outcome));
   if (!call.empty()) {
     json["call"] = call.text();
-    response.set(ToBeast(kCallHeader), call.text());
+    SetNamed(response, names.call, call.text());
   }
   if (failure.retry_after) {
-    const auto wait = std::chrono::ceil<seconds>(*failure.retry_after);
-    response.set(http::field::retry_after, std::to_string(wait.count()));
+    response.set(http::field::retry_after,
+                 FormatRetryAfter(*failure.retry_after, names));
   }
   response.body() =
       json.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
--- a/proxy/failure.h
+++ b/proxy/failure.h
@@ -27,6 +27,7 @@
   kTooManyConnections,
   kUnknownCustomer,
   kNotInContract,
+  kNoRoute,
   kTooDeep,
   kDeadline,
   kShed,
@@ -44,7 +45,7 @@
   kTimedOut,
   kCancelled,
 };
-inline constexpr std::size_t kFailureKindCount = 27;
+inline constexpr std::size_t kFailureKindCount = 28;
 
 // The name in answers and metrics.
 std::string_view ToString(FailureKind kind);
@@ -67,7 +68,8 @@
 // `call` is empty where the request was refused before it was a call.
 HttpResponse RenderFailure(const Failure& failure,
                            Outcome outcome,
-                           const CallId& call);
+                           const CallId& call,
+                           const ProtocolNames& names);
 
 }  // namespace damasktack
 
--- a/proxy/header_rewrite.cc
+++ b/proxy/header_rewrite.cc
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr std::string_view kOwnPrefix = "Damasktack-";
-
 bool IsHopByHop(http::field name) {
   return name == http::field::connection || name == http::field::keep_alive ||
          name == http::field::transfer_encoding || name == http::field::te ||
@@ -21,10 +19,10 @@
          name == http::field::proxy_authorization;
 }
 
-bool IsOwn(std::string_view name) {
-  return name.size() >= kOwnPrefix.size() &&
-         beast::iequals(ToBeast(name.substr(0, kOwnPrefix.size())),
-                        ToBeast(kOwnPrefix));
+bool IsOwn(std::string_view name, std::string_view prefix) {
+  return name.size() >= prefix.size() &&
+         beast::iequals(ToBeast(name.substr(0, prefix.size())),
+                        ToBeast(prefix));
 }
 
 // Names that the sender says concern its connection only.
@@ -45,9 +43,12 @@
   }
 }
 
-void RemoveOwn(http::fields& fields) {
+void RemoveOwn(http::fields& fields, std::string_view prefix) {
+  if (prefix.empty()) {
+    return;
+  }
   for (auto it = fields.begin(); it != fields.end();) {
-    const bool is_own = IsOwn(FromBeast(it->name_string()));
+    const bool is_own = IsOwn(FromBeast(it->name_string()), prefix);
     it = is_own ? fields.erase(it) : std::next(it);
   }
 }
@@ -67,13 +68,24 @@
   return number;
 }
 
+void SetNamed(http::fields& fields,
+              const std::string& name,
+              std::string_view value) {
+  if (!name.empty()) {
+    fields.set(name, ToBeast(value));
+  }
+}
+
 void PrepareForEndpoint(HttpRequest& request,
                         const CallId& call,
-                        std::int64_t depth) {
+                        std::int64_t depth,
+                        const ProtocolNames& names) {
   RemoveHopByHop(request);
-  RemoveOwn(request);
-  request.set(ToBeast(kCallHeader), call.text());
-  request.set(ToBeast(kDepthHeader), std::to_string(depth));
+  RemoveOwn(request, names.own_prefix);
+  if (!names.callers_name_calls) {
+    SetNamed(request, names.call, call.text());
+  }
+  SetNamed(request, names.depth, std::to_string(depth));
   if (request.count(http::field::host) == 0) {
     // Allowed in HTTP/1.0; the call goes on as HTTP/1.1, which wants one.
     request.set(http::field::host, "");
@@ -83,10 +95,12 @@
   request.prepare_payload();
 }
 
-void PrepareForCaller(HttpResponse& answer, bool for_head) {
+void PrepareForCaller(HttpResponse& answer,
+                      bool for_head,
+                      const ProtocolNames& names) {
   RemoveHopByHop(answer);
-  answer.erase(ToBeast(kLoadHeader));
-  answer.erase(ToBeast(kShedHeader));
+  answer.erase(names.load);
+  answer.erase(names.shed);
   if (!for_head) {
     answer.erase(http::field::content_length);
   }
--- a/proxy/header_rewrite.h
+++ b/proxy/header_rewrite.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "core/ids.h"
@@ -20,10 +21,18 @@
 // wrote. The customer's key never reaches an endpoint.
 void PrepareForEndpoint(HttpRequest& request,
                         const CallId& call,
-                        std::int64_t depth);
+                        std::int64_t depth,
+                        const ProtocolNames& names);
 
 // The same for an endpoint's answer; `for_head` keeps Content-Length.
-void PrepareForCaller(HttpResponse& answer, bool for_head);
+void PrepareForCaller(HttpResponse& answer,
+                      bool for_head,
+                      const ProtocolNames& names);
+
+// Sets a header that the deployment may not have.
+void SetNamed(http::fields& fields,
+              const std::string& name,
+              std::string_view value);
 
 }  // namespace damasktack
 
--- a/proxy/http_types.h
+++ b/proxy/http_types.h
@@ -6,6 +6,8 @@
 #include <boost/beast/http.hpp>
 #include <string_view>
 
+#include "contract/protocol_names.h"
+
 namespace damasktack {
 
 namespace asio = boost::asio;
@@ -16,16 +18,8 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
-// Headers between a caller, damasktack and an endpoint.
+// Headers of callers only; contract/protocol_names.h has the others.
 inline constexpr std::string_view kKeyHeader = "Damasktack-Key";
-inline constexpr std::string_view kOutcomeHeader = "Damasktack-Outcome";
-inline constexpr std::string_view kCallHeader = "Damasktack-Call";
-// Milliseconds that remain; asked by the caller and passed on.
-inline constexpr std::string_view kDeadlineHeader = "Damasktack-Deadline-Ms";
-// Hops so far; 0 or absent at the first.
-inline constexpr std::string_view kDepthHeader = "Damasktack-Depth";
-// Sends of this call so far by this hop.
-inline constexpr std::string_view kAttemptHeader = "Damasktack-Attempt";
 inline constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
 
 inline beast::string_view ToBeast(std::string_view text) {
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -20,8 +20,12 @@
     std::shared_ptr<ServiceDispatcher>& dispatcher = dispatchers_[service.id];
     if (!dispatcher) {
       const ConnectionShare share{options_.threads, options_.idle_per_endpoint};
-      dispatcher = std::make_shared<ServiceDispatcher>(options_.balancer, share,
-                                                       std::random_device()());
+      dispatcher = std::make_shared<ServiceDispatcher>(
+          MakeBalancer(), share, [this] {
+            if (on_waiting_) {
+              on_waiting_();
+            }
+          });
     }
     dispatcher->SetService(service, hosts, now);
   }
@@ -29,6 +33,15 @@
   routing_ = std::move(table);
 }
 
+std::unique_ptr<Balancer> ProxyState::MakeBalancer() const {
+  if (options_.measures_before_sending) {
+    return std::make_unique<MeasuredBalancer>(options_.measured,
+                                              std::random_device()());
+  }
+  return std::make_unique<ServiceBalancer>(options_.balancer,
+                                           std::random_device()());
+}
+
 void ProxyState::RemoveUnlisted(const RoutingTable& table, TimePoint now) {
   for (auto it = dispatchers_.begin(); it != dispatchers_.end();) {
     const auto is_listed = [&](const ServiceSpec& service) {
@@ -51,6 +64,16 @@
   return routing_;
 }
 
+CallerLimits ProxyState::bounds() const {
+  const RoutingTablePtr table = routing();
+  if (table->has_routes()) {
+    return table->book()->limits;
+  }
+  return CallerLimits{options_.request_header_bytes,
+                      options_.request_body_bytes, options_.request_timeout,
+                      options_.idle_timeout};
+}
+
 std::shared_ptr<ServiceDispatcher> ProxyState::FindDispatcher(
     const ServiceId& service) const {
   const std::shared_lock lock(mutex_);
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -12,6 +12,8 @@
 
 #include "fleet/claim_gate.h"
 #include "fleet/limit_gate.h"
+#include "policy/measured_balancer.h"
+#include "policy/service_balancer.h"
 #include "proxy/call_metrics.h"
 #include "proxy/endpoint_exchange.h"
 #include "proxy/proxy_counters.h"
@@ -21,6 +23,8 @@
 namespace damasktack {
 
 struct ProxyOptions {
+  // Headers and ways of the deployment; not a setting of its own.
+  ProtocolNames names;
   SocketAddress listen;
   std::int64_t threads = 2;
   std::int64_t connections = 4096;
@@ -35,7 +39,11 @@
   // Below the time after which endpoints close an idle connection.
   Duration endpoint_idle = std::chrono::seconds(4);
   ExchangeLimits exchange;
+  // How calls are placed: by own calls and reports, or by measuring at the
+  // moment of the decision.
+  bool measures_before_sending = false;
   BalancerOptions balancer;
+  MeasuredBalancerOptions measured;
   Duration tick = std::chrono::milliseconds(2);
 };
 
@@ -54,11 +62,19 @@
   // Puts new documents in force for the calls that arrive from now on.
   void SetRouting(RoutingTablePtr table, std::int64_t hosts, TimePoint now);
   RoutingTablePtr routing() const;
+  // What callers may send: the published limits, or else the settings.
+  CallerLimits bounds() const;
   // Null where no such service was ever published.
   std::shared_ptr<ServiceDispatcher> FindDispatcher(
       const ServiceId& service) const;
   std::map<ServiceId, std::shared_ptr<ServiceDispatcher>> dispatchers() const;
 
+  // Runs when calls have begun to wait, on any I/O thread. To be set before
+  // the first call.
+  void SetOnWaiting(std::function<void()> on_waiting) {
+    on_waiting_ = std::move(on_waiting);
+  }
+
   // Asked before a call is admitted: whether what this host believes has been
   // checked since it last slept. To be set before the first call.
   void SetIsCurrent(std::function<bool()> is_current) {
@@ -80,6 +96,7 @@
   std::string RenderMetrics(TimePoint now) const;
 
  private:
+  std::unique_ptr<Balancer> MakeBalancer() const;
   // Forgets the services that are no longer published; the caller holds the
   // lock.
   void RemoveUnlisted(const RoutingTable& table, TimePoint now);
@@ -93,6 +110,7 @@
   RoutingTablePtr routing_ = std::make_shared<RoutingTable>();
   std::map<ServiceId, std::shared_ptr<ServiceDispatcher>> dispatchers_;
   std::function<bool()> is_current_;
+  std::function<void()> on_waiting_;
   std::atomic<CallToken> last_token_ = 0;
   std::atomic<bool> stopping_ = false;
 };
--- a/proxy/routing_table.cc
+++ b/proxy/routing_table.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
+#include <utility>
 
 namespace damasktack {
 
@@ -17,6 +19,21 @@
          path[prefix.size()] == '?';
 }
 
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::ranges::transform(lower, lower.begin(), [](unsigned char it) {
+    return static_cast<char>(std::tolower(it));
+  });
+  return lower;
+}
+
+std::string_view WithoutPort(std::string_view host) {
+  const std::size_t colon = host.rfind(':');
+  const bool is_port = colon != std::string_view::npos &&
+                       host.find(']', colon) == std::string_view::npos;
+  return is_port ? host.substr(0, colon) : host;
+}
+
 }  // namespace
 
 std::string Sha256Hex(std::string_view text) {
@@ -46,6 +63,40 @@
   }
 }
 
+RoutingTable::RoutingTable(std::shared_ptr<const RouteBook> book,
+                           std::vector<ServiceSpec> services)
+    : services_(std::move(services)), book_(std::move(book)) {
+  for (std::size_t n = 0; n < services_.size(); ++n) {
+    service_by_id_.emplace(services_[n].id, n);
+  }
+  for (const Route& it : book_->routes) {
+    contracts_.push_back(it.contract);
+    routes_by_host_[LowerCase(it.host)].push_back(&it);
+  }
+  for (auto& [host, routes] : routes_by_host_) {
+    std::ranges::sort(routes, [](const Route* a, const Route* b) {
+      return a->prefix.size() > b->prefix.size();
+    });
+  }
+}
+
+const Route* RoutingTable::FindRoute(std::string_view host,
+                                     std::string_view path) const {
+  const auto routes = routes_by_host_.find(LowerCase(WithoutPort(host)));
+  if (routes == routes_by_host_.end()) {
+    return nullptr;
+  }
+  const auto it = std::ranges::find_if(
+      routes->second,
+      [&](const Route* route) { return path.starts_with(route->prefix); });
+  return it == routes->second.end() ? nullptr : *it;
+}
+
+const ServiceSpec* RoutingTable::FindServiceById(const ServiceId& id) const {
+  const auto it = service_by_id_.find(id);
+  return it == service_by_id_.end() ? nullptr : &services_[it->second];
+}
+
 const Contract* RoutingTable::FindContract(std::string_view key) const {
   const auto it = contract_by_digest_.find(Sha256Hex(key));
   return it == contract_by_digest_.end() ? nullptr : &contracts_[it->second];
--- a/proxy/routing_table.h
+++ b/proxy/routing_table.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "contract/document.h"
+#include "contract/route.h"
 
 namespace damasktack {
 
@@ -20,12 +21,24 @@
  public:
   RoutingTable() = default;
   RoutingTable(const ContractBook& contracts, const ServiceBook& services);
+  // For callers without keys: the route tells the contract.
+  RoutingTable(std::shared_ptr<const RouteBook> book,
+               std::vector<ServiceSpec> services);
 
   // Null where no contract has this key.
   const Contract* FindContract(std::string_view key) const;
   // Null where no service has a prefix of this path.
   const ServiceSpec* FindService(std::string_view path) const;
 
+  // Whether requests go by routes and not by their callers' contracts.
+  bool has_routes() const { return book_ != nullptr; }
+  // The route with the longest prefix of this path; null where there is none.
+  const Route* FindRoute(std::string_view host, std::string_view path) const;
+  // Null where it is not published.
+  const ServiceSpec* FindServiceById(const ServiceId& id) const;
+  // Null without routes.
+  const std::shared_ptr<const RouteBook>& book() const { return book_; }
+
   const std::vector<Contract>& contracts() const { return contracts_; }
   const std::vector<ServiceSpec>& services() const { return services_; }
 
@@ -34,6 +47,10 @@
   // Longest prefix first.
   std::vector<ServiceSpec> services_;
   std::unordered_map<std::string, std::size_t> contract_by_digest_;
+  std::shared_ptr<const RouteBook> book_;
+  // By host in lower case, longest prefix first.
+  std::unordered_map<std::string, std::vector<const Route*>> routes_by_host_;
+  std::unordered_map<ServiceId, std::size_t> service_by_id_;
 };
 
 using RoutingTablePtr = std::shared_ptr<const RoutingTable>;
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -5,17 +5,20 @@
 
 namespace damasktack {
 
-ServiceDispatcher::ServiceDispatcher(BalancerOptions options,
+ServiceDispatcher::ServiceDispatcher(std::unique_ptr<Balancer> balancer,
                                      ConnectionShare share,
-                                     std::uint64_t seed)
-    : share_(share), balancer_(std::move(options), seed) {}
+                                     std::function<void()> on_waiting)
+    : share_(share),
+      balancer_(std::move(balancer)),
+      on_waiting_(std::move(on_waiting)) {}
 
 void ServiceDispatcher::SetService(const ServiceSpec& service,
                                    std::int64_t hosts,
                                    TimePoint now) {
   const std::lock_guard lock(mutex_);
   hosts_ = std::max<std::int64_t>(hosts, 1);
-  balancer_.SetService(service, hosts, now);
+  health_path_ = service.health_path;
+  balancer_->SetService(service, hosts, now);
 }
 
 void ServiceDispatcher::Offer(const CallOffer& offer,
@@ -23,18 +26,20 @@
                               TimePoint now) {
   Decisions decisions;
   std::vector<Placed> placed;
+  bool waiting = false;
   {
     const std::lock_guard lock(mutex_);
     waiting_.emplace(offer.token, std::move(on_placed));
-    balancer_.Offer(offer, now, decisions);
+    balancer_->Offer(offer, now, decisions);
     placed = Resolve(decisions);
+    waiting = balancer_->waiting() > 0;
   }
-  Tell(placed);
+  Tell(placed, waiting);
 }
 
 bool ServiceDispatcher::Withdraw(CallToken token, TimePoint now) {
   const std::lock_guard lock(mutex_);
-  if (!balancer_.Withdraw(token, now)) {
+  if (!balancer_->Withdraw(token, now)) {
     return false;
   }
   waiting_.erase(token);
@@ -48,19 +53,21 @@
   Decisions decisions;
   std::vector<Placed> placed;
   AfterSend after = AfterSend::kDone;
+  bool waiting = false;
   {
     const std::lock_guard lock(mutex_);
     waiting_.emplace(offer.token, std::move(on_placed));
     if (end.report) {
       NoteDrain(end.endpoint, *end.report);
     }
-    after = balancer_.Finish(offer, end, now, decisions);
+    after = balancer_->Finish(offer, end, now, decisions);
     if (after == AfterSend::kDone) {
       waiting_.erase(offer.token);
     }
     placed = Resolve(decisions);
+    waiting = balancer_->waiting() > 0;
   }
-  Tell(placed);
+  Tell(placed, waiting);
   return after;
 }
 
@@ -69,23 +76,33 @@
                                TimePoint now) {
   Decisions decisions;
   std::vector<Placed> placed;
+  bool waiting = false;
   {
     const std::lock_guard lock(mutex_);
     NoteDrain(endpoint, report);
-    balancer_.Report(endpoint, report, now, decisions);
+    balancer_->Report(endpoint, report, now, decisions);
     placed = Resolve(decisions);
+    waiting = balancer_->waiting() > 0;
   }
-  Tell(placed);
+  Tell(placed, waiting);
 }
 
 void ServiceDispatcher::ProbeFailed(EndpointIndex endpoint, TimePoint now) {
-  const std::lock_guard lock(mutex_);
-  balancer_.ProbeFailed(endpoint, now);
+  Decisions decisions;
+  std::vector<Placed> placed;
+  bool waiting = false;
+  {
+    const std::lock_guard lock(mutex_);
+    balancer_->ProbeFailed(endpoint, now, decisions);
+    placed = Resolve(decisions);
+    waiting = balancer_->waiting() > 0;
+  }
+  Tell(placed, waiting);
 }
 
 void ServiceDispatcher::HearDrain(const EndpointId& endpoint, TimePoint now) {
   const std::lock_guard lock(mutex_);
-  balancer_.HearDrain(endpoint, now);
+  balancer_->HearDrain(endpoint, now);
 }
 
 std::set<EndpointId> ServiceDispatcher::TakeDrainSightings() {
@@ -96,7 +113,7 @@
 void ServiceDispatcher::NoteDrain(EndpointIndex endpoint,
                                   const EndpointReport& report) {
   if (report.mode == EndpointMode::kDraining) {
-    drain_sightings_.insert(balancer_.endpoint(endpoint).id);
+    drain_sightings_.insert(balancer_->endpoint(endpoint).id);
   }
 }
 
@@ -106,17 +123,17 @@
   bool waiting = false;
   {
     const std::lock_guard lock(mutex_);
-    balancer_.Tick(now, decisions);
+    balancer_->Tick(now, decisions);
     placed = Resolve(decisions);
-    waiting = balancer_.waiting() > 0;
+    waiting = balancer_->waiting() > 0;
   }
-  Tell(placed);
+  Tell(placed, false);
   return waiting;
 }
 
 std::optional<ProbeOrder> ServiceDispatcher::NextProbe(TimePoint now) {
   const std::lock_guard lock(mutex_);
-  const std::optional<EndpointIndex> next = balancer_.NextProbe(now);
+  const std::optional<EndpointIndex> next = balancer_->NextProbe(now);
   if (!next) {
     return std::nullopt;
   }
@@ -125,7 +142,7 @@
 
 BalancerStatus ServiceDispatcher::Status(TimePoint now) const {
   const std::lock_guard lock(mutex_);
-  return balancer_.Status(now);
+  return balancer_->Status(now);
 }
 
 void ServiceDispatcher::CountProbe(std::uint64_t bytes) {
@@ -138,11 +155,12 @@
 }
 
 EndpointTarget ServiceDispatcher::TargetOf(EndpointIndex endpoint) const {
-  const EndpointSpec& spec = balancer_.endpoint(endpoint);
+  const EndpointSpec& spec = balancer_->endpoint(endpoint);
   const std::int64_t part = spec.connections / (hosts_ * share_.threads);
   const std::int64_t most =
       std::min(share_.most, std::max<std::int64_t>(part, 1));
-  return EndpointTarget{spec.address, static_cast<std::size_t>(most)};
+  return EndpointTarget{spec.address, static_cast<std::size_t>(most), spec.id,
+                        health_path_};
 }
 
 std::vector<ServiceDispatcher::Placed> ServiceDispatcher::Resolve(
@@ -158,18 +176,21 @@
   };
   for (const Dispatch& it : decisions.dispatches) {
     take(it.token,
-         Placement{Refusal::kNone, it.endpoint, TargetOf(it.endpoint)});
+         Placement{Refusal::kNone, it.endpoint, TargetOf(it.endpoint), {}});
   }
   for (const Rejection& it : decisions.rejections) {
-    take(it.token, Placement{it.refusal, 0, {}});
+    take(it.token, Placement{it.refusal, 0, {}, it.retry_after});
   }
   return placed;
 }
 
-void ServiceDispatcher::Tell(std::vector<Placed>& placed) {
+void ServiceDispatcher::Tell(std::vector<Placed>& placed, bool waiting) {
   for (Placed& it : placed) {
     it.on_placed(it.placement);
   }
+  if (waiting && on_waiting_) {
+    on_waiting_();
+  }
 }
 
 }  // namespace damasktack
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -3,12 +3,14 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 
-#include "policy/service_balancer.h"
+#include "policy/balancer.h"
 #include "proxy/endpoint_pool.h"
 
 namespace damasktack {
@@ -18,6 +20,8 @@
   Refusal refusal = Refusal::kNone;
   EndpointIndex endpoint = 0;
   EndpointTarget target;
+  // Of a refusal; zero where only what is usual for it is known.
+  Duration retry_after{};
 };
 
 struct ProbeOrder {
@@ -46,9 +50,11 @@
   // Runs on the thread whose event led to the placement, outside the lock.
   using OnPlaced = std::function<void(const Placement&)>;
 
-  ServiceDispatcher(BalancerOptions options,
+  // `on_waiting` runs after an event that left calls waiting, on the thread
+  // of the event; their owner then has probes to send and time to keep.
+  ServiceDispatcher(std::unique_ptr<Balancer> balancer,
                     ConnectionShare share,
-                    std::uint64_t seed);
+                    std::function<void()> on_waiting);
 
   void SetService(const ServiceSpec& service,
                   std::int64_t hosts,
@@ -73,6 +79,7 @@
   std::set<EndpointId> TakeDrainSightings();
   // Whether calls wait afterwards.
   bool Tick(TimePoint now);
+  bool probes_while_quiet() const { return balancer_->probes_while_quiet(); }
   std::optional<ProbeOrder> NextProbe(TimePoint now);
   BalancerStatus Status(TimePoint now) const;
 
@@ -87,7 +94,7 @@
 
   // Turns decisions into placements; the caller holds the lock.
   std::vector<Placed> Resolve(const Decisions& decisions);
-  static void Tell(std::vector<Placed>& placed);
+  void Tell(std::vector<Placed>& placed, bool waiting);
   void NoteDrain(EndpointIndex endpoint, const EndpointReport& report);
   EndpointTarget TargetOf(EndpointIndex endpoint) const;
 
@@ -96,7 +103,9 @@
   std::atomic<std::uint64_t> probe_bytes_ = 0;
   mutable std::mutex mutex_;
   std::int64_t hosts_ = 1;
-  ServiceBalancer balancer_;
+  std::string health_path_;
+  const std::unique_ptr<Balancer> balancer_;
+  const std::function<void()> on_waiting_;
   std::unordered_map<CallToken, OnPlaced> waiting_;
   std::set<EndpointId> drain_sightings_;
 };
--- a/tests/main/test_settings.cc
+++ b/tests/main/test_settings.cc
@@ -18,6 +18,14 @@
   })");
 }
 
+// The same for a deployment that has a store in place of documents.
+Json SoundWithStore() {
+  Json json = Sound();
+  json.erase("platform");
+  json["store"] = Json{{"address", "10.0.0.9:80"}};
+  return json;
+}
+
 Error ErrorOf(const std::string& text) {
   return Try(
       [&]() -> leaf::result<Error> {
@@ -35,6 +43,13 @@
   CHECK(ErrorOf("// why\n" + Sound().dump()) == Error{});
 }
 
+TEST_CASE("a host reads documents or a store, and not both") {
+  CHECK(ErrorOf(SoundWithStore()) == Error{});
+  Json both = SoundWithStore();
+  both["platform"] = Sound()["platform"];
+  CHECK(ErrorOf(both).kind == ErrorKind::kDuplicate);
+}
+
 TEST_CASE("each required setting is missed by name") {
   for (const char* it : {"/host", "/zone", "/proxy", "/proxy/listen", "/admin",
                          "/admin/listen", "/admin/token", "/platform",
@@ -59,7 +74,7 @@
     for (char& letter : path) {
       letter = letter == '.' ? '/' : letter;
     }
-    Json json = Sound();
+    Json json = it.key.starts_with("store.") ? SoundWithStore() : Sound();
     json[Json::json_pointer(path)] = Json::array({1});
     const Error error = ErrorOf(json);
     CHECK(error.where == it.key);
--- /dev/null
+++ b/tests/policy/test_measured_balancer.cc
@@ -0,0 +1,239 @@
+#include "policy/measured_balancer.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+
+namespace damasktack {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+ServiceSpec MakeService(int endpoints) {
+  ServiceSpec service;
+  service.id = ServiceId("status");
+  for (int n = 0; n < endpoints; ++n) {
+    EndpointSpec spec;
+    spec.id = EndpointId("e" + std::to_string(n));
+    spec.address = {"10.0.0." + std::to_string(n + 1), 80};
+    spec.zone = ZoneId(n % 2 == 0 ? "near" : "far");
+    spec.slots = 3;
+    service.endpoints.push_back(spec);
+  }
+  return service;
+}
+
+MeasuredBalancerOptions MakeOptions() {
+  MeasuredBalancerOptions options;
+  options.zone = ZoneId("near");
+  return options;
+}
+
+CallOffer MakeCall(CallToken token, TimePoint now) {
+  CallOffer offer;
+  offer.token = token;
+  offer.customer = CustomerId("route");
+  offer.idempotent = true;
+  offer.retry_percent = 100;
+  offer.arrival = now;
+  offer.on_time_until = now + milliseconds(200);
+  offer.deadline = now + milliseconds(500);
+  return offer;
+}
+
+EndpointReport MakeReport(int in_flight, double pace) {
+  EndpointReport report;
+  report.in_flight = in_flight;
+  report.slots = 3;
+  report.pace = pace;
+  return report;
+}
+
+// Endpoints that answer each probe at once with what the test has set.
+class Harness {
+ public:
+  explicit Harness(int endpoints) : balancer(MakeOptions(), 7) {
+    balancer.SetService(MakeService(endpoints), 1, now);
+    for (int n = 0; n < endpoints; ++n) {
+      reports[static_cast<EndpointIndex>(n)] = MakeReport(0, 1);
+    }
+  }
+
+  // Offers a call and serves probes until nothing more happens at this time.
+  Decisions Offer(const CallOffer& offer) {
+    Decisions out;
+    balancer.Offer(offer, now, out);
+    ServeProbes(out);
+    return out;
+  }
+  void ServeProbes(Decisions& out) {
+    while (const auto probe = balancer.NextProbe(now)) {
+      ++probes;
+      balancer.Report(*probe, reports.at(*probe), now, out);
+    }
+  }
+  Decisions Tick(Duration passed) {
+    now += passed;
+    Decisions out;
+    balancer.Tick(now, out);
+    ServeProbes(out);
+    return out;
+  }
+  AfterSend End(const CallOffer& offer,
+                EndpointIndex endpoint,
+                SendResult result,
+                Decisions& out) {
+    return balancer.Finish(offer,
+                           {.token = offer.token,
+                            .endpoint = endpoint,
+                            .result = result,
+                            .took = milliseconds(60),
+                            .report = std::nullopt},
+                           now, out);
+  }
+
+  MeasuredBalancer balancer;
+  TimePoint now = kStart;
+  std::map<EndpointIndex, EndpointReport> reports;
+  int probes = 0;
+};
+
+TEST_CASE("a call goes to an endpoint that works at its usual pace") {
+  Harness harness(8);
+  for (EndpointIndex n = 0; n < 8; ++n) {
+    harness.reports[n] = MakeReport(0, n == 5 ? 1 : 7);
+  }
+  const Decisions out = harness.Offer(MakeCall(1, harness.now));
+  REQUIRE(out.dispatches.size() == 1);
+  CHECK(out.dispatches[0].endpoint == 5);
+}
+
+TEST_CASE("a near endpoint goes first while it is as free as a far one") {
+  for (int n = 0; n < 50; ++n) {
+    Harness harness(8);
+    const Decisions out = harness.Offer(MakeCall(1, harness.now));
+    REQUIRE(out.dispatches.size() == 1);
+    CHECK(harness.balancer.endpoint(out.dispatches[0].endpoint).zone ==
+          ZoneId("near"));
+  }
+}
+
+TEST_CASE("a fresh report of a good endpoint saves the probes") {
+  Harness harness(8);
+  harness.Offer(MakeCall(1, harness.now));
+  const int before = harness.probes;
+  harness.Offer(MakeCall(2, harness.now));
+  CHECK(harness.probes == before);
+}
+
+// The caller is told at once that a command did not run, with a time at which
+// it has a chance. Every slot and queue is taken, so the command would end
+// after its objective wherever it went; waiting for the deadline would only
+// take away the caller's time to try again.
+TEST_CASE("a call that nobody can serve in time is refused early") {
+  Harness harness(4);
+  for (EndpointIndex n = 0; n < 4; ++n) {
+    harness.reports[n] = MakeReport(12, 7);
+  }
+  const CallOffer call = MakeCall(1, harness.now);
+  Decisions out = harness.Offer(call);
+  for (int n = 0; n < 20 && out.rejections.empty(); ++n) {
+    out = harness.Tick(milliseconds(5));
+  }
+  REQUIRE(out.rejections.size() == 1);
+  CHECK(out.dispatches.empty());
+  CHECK(out.rejections[0].refusal == Refusal::kShed);
+  CHECK(out.rejections[0].retry_after > Duration::zero());
+  CHECK(harness.now - call.arrival <= milliseconds(40));
+}
+
+// A replaced endpoint goes on getting calls until it stops, and these are cut.
+// The store says that it leaves while a call is under way there; the answer to
+// that call comes without a report and was taken for a sign that the endpoint
+// serves again.
+TEST_CASE("an answer does not bring back an endpoint that leaves") {
+  Harness harness(2);
+  const CallOffer call = MakeCall(1, harness.now);
+  const Decisions out = harness.Offer(call);
+  REQUIRE(out.dispatches.size() == 1);
+  const EndpointIndex endpoint = out.dispatches[0].endpoint;
+  ServiceSpec service = MakeService(2);
+  service.endpoints[endpoint].state = ListedState::kLeaving;
+  harness.balancer.SetService(service, 1, harness.now);
+  Decisions ignored;
+  harness.End(call, endpoint, SendResult::kAnswered, ignored);
+  for (CallToken token = 2; token < 40; ++token) {
+    harness.now += milliseconds(50);
+    const Decisions next = harness.Offer(MakeCall(token, harness.now));
+    for (const Dispatch& it : next.dispatches) {
+      CHECK(it.endpoint != endpoint);
+    }
+  }
+}
+
+TEST_CASE(
+    "an endpoint that has just joined gets a call while others are free") {
+  Harness harness(6);
+  harness.Offer(MakeCall(1, harness.now));
+  harness.balancer.SetService(MakeService(7), 1, harness.now);
+  harness.reports[6] = MakeReport(0, 1);
+  bool is_used = false;
+  for (CallToken token = 2; token < 12 && !is_used; ++token) {
+    harness.now += milliseconds(100);
+    const CallOffer call = MakeCall(token, harness.now);
+    const Decisions out = harness.Offer(call);
+    REQUIRE(out.dispatches.size() == 1);
+    is_used = out.dispatches[0].endpoint == 6;
+    Decisions ignored;
+    harness.End(call, out.dispatches[0].endpoint, SendResult::kAnswered,
+                ignored);
+  }
+  CHECK(is_used);
+}
+
+TEST_CASE("an endpoint that keeps failing loses its calls to the others") {
+  Harness harness(4);
+  int at_failing = 0;
+  for (CallToken token = 1; token < 200; ++token) {
+    harness.now += milliseconds(20);
+    const CallOffer call = MakeCall(token, harness.now);
+    Decisions out = harness.Offer(call);
+    REQUIRE(out.dispatches.size() == 1);
+    const EndpointIndex endpoint = out.dispatches[0].endpoint;
+    const bool fails = endpoint == 0;
+    at_failing += fails ? 1 : 0;
+    Decisions after;
+    harness.End(call, endpoint,
+                fails ? SendResult::kBroken : SendResult::kAnswered, after);
+    harness.balancer.Withdraw(token, harness.now);
+  }
+  CHECK(at_failing < 20);
+}
+
+TEST_CASE("no endpoint is left: calls are refused after a short wait") {
+  Harness harness(0);
+  Decisions out = harness.Offer(MakeCall(1, harness.now));
+  CHECK(out.rejections.empty());
+  out = harness.Tick(milliseconds(160));
+  REQUIRE(out.rejections.size() == 1);
+  CHECK(out.rejections[0].refusal == Refusal::kNoEndpoint);
+}
+
+TEST_CASE("probes stay within the budget whatever arrives") {
+  Harness harness(4);
+  for (EndpointIndex n = 0; n < 4; ++n) {
+    harness.reports[n] = MakeReport(12, 7);
+  }
+  for (CallToken token = 1; token < 4000; ++token) {
+    harness.now += milliseconds(1);
+    harness.Offer(MakeCall(token, harness.now));
+  }
+  const MeasuredBalancerOptions options;
+  CHECK(harness.probes <= 4.0 * options.probe_rate + options.probe_burst);
+}
+
+}  // namespace
+}  // namespace damasktack
--- a/tests/proxy/test_endpoint_pool.cc
+++ b/tests/proxy/test_endpoint_pool.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "policy/service_balancer.h"
 #include "proxy/service_dispatcher.h"
 #include "raw_peer.h"
 
@@ -74,7 +75,8 @@
   endpoint.slots = 6;
   endpoint.connections = 250;
   service.endpoints = {endpoint};
-  ServiceDispatcher dispatcher({}, ConnectionShare{2, 16}, 1);
+  ServiceDispatcher dispatcher(
+      std::make_unique<ServiceBalancer>(BalancerOptions{}, 1), ConnectionShare{2, 16}, {});
   const TimePoint now = Clock::now();
   const auto kept_with = [&](std::int64_t hosts, CallToken token) {
     dispatcher.SetService(service, hosts, now);
