A stop takes nothing new after three seconds

Change: the listening socket and the readiness check close 3 s after the signal, and calls in flight have until 5.5 s.

--- a/admin/admin_server.cc
+++ b/admin/admin_server.cc
@@ -24,6 +24,8 @@
 constexpr std::size_t kLargestBody = 4 << 10;
 constexpr auto kStartPoll = std::chrono::milliseconds(1);
 constexpr auto kReadTimeout = std::chrono::seconds(2);
+constexpr auto kFirstByteTimeout = std::chrono::seconds(1);
+constexpr auto kAcceptPoll = std::chrono::seconds(1);
 constexpr auto kWriteTimeout = std::chrono::seconds(5);
 
 bool HasToken(const httplib::Request& req, const std::string& token) {
@@ -73,6 +75,11 @@
   // One call a connection: an idle kept-alive connection would hold one of
   // the few threads, and the platform's readiness check would time out.
   server.set_keep_alive_max_count(1);
+  server.set_keep_alive_timeout(kFirstByteTimeout.count());
+  // A stop that comes while a connection is being accepted may not wake the
+  // thread that accepts, and the process would never end. It looks by itself
+  // this often.
+  server.set_idle_interval(kAcceptPoll);
   server.set_read_timeout(kReadTimeout);
   server.set_write_timeout(kWriteTimeout);
   server.set_tcp_nodelay(true);
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -18,6 +18,9 @@
 constexpr Duration kStopPoll = std::chrono::milliseconds(10);
 // Without any caller's connection for this long, the stop is done.
 constexpr Duration kQuietBeforeEnd = std::chrono::milliseconds(50);
+// In which connections that are idle when the lag is over end: the time that
+// they are given, and some more.
+constexpr Duration kIdleEndTime = std::chrono::milliseconds(520);
 
 ProxyOptions MakeProxyOptions(const Settings& settings) {
   ProxyOptions options = settings.proxy;
@@ -122,6 +125,12 @@
       Clock::now() + settings_.stop.lag + settings_.stop.longest;
   std::this_thread::sleep_for(settings_.stop.lag);
   callers_.BeginStopping();
+  std::this_thread::sleep_for(kIdleEndTime);
+  // What is taken in later could not be finished: its call would be cut when
+  // the platform ends the process. A refused connection tells its caller that
+  // nothing was read.
+  callers_.StopAccepting();
+  admin_.Stop();
   TimePoint quiet_since = Clock::now();
   while (Clock::now() < last && Clock::now() - quiet_since < kQuietBeforeEnd) {
     std::this_thread::sleep_for(kStopPoll);
@@ -132,7 +141,6 @@
   const std::int64_t cut = state_.calls_in_flight();
   callers_.Stop();
   reader_.Stop();
-  admin_.Stop();
   spdlog::info("event=stopped host={} cut={}", settings_.host.text(), cut);
 }
 
--- a/proxy/caller_server.cc
+++ b/proxy/caller_server.cc
@@ -78,6 +78,9 @@
       Admit(std::move(socket), loop);
       continue;
     }
+    if (!acceptor_->is_open()) {
+      co_return;
+    }
     asio::steady_timer pause(loops_.front()->context(),
                              kPauseAfterFailedAccept);
     co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
@@ -199,6 +202,13 @@
   }
 }
 
+void CallerServer::StopAccepting() {
+  loops_.front()->door()->Post([this] {
+    boost::system::error_code ec;
+    acceptor_->close(ec);
+  });
+}
+
 void CallerServer::Stop() {
   for (const auto& it : loops_) {
     it->Stop();
--- a/proxy/caller_server.h
+++ b/proxy/caller_server.h
@@ -23,6 +23,8 @@
   // Begins a graceful stop: what has arrived is served, answers close their
   // connections, idle connections end. Done when connections() is 0.
   void BeginStopping();
+  // Closes the listening socket; connections that are open go on.
+  void StopAccepting();
   // Ends the threads; what is still in flight is cut.
   void Stop();
   std::uint16_t port() const { return port_; }
