Hosts learn what is published from the seeds, not each from the store

Change: fleet/published_feed, pure: the first seed reads the store, seeds follow those before them, others follow a seed; each update carries the age of its confirmation, and a host whose knowledge grows old reads the store itself. Ruled out: a full mesh as the fleet's own links are (grows with the square), and longer watches on every host (a lost answer would hide a change too long).

--- a/fleet/peer_message.h
+++ b/fleet/peer_message.h
@@ -8,6 +8,7 @@
 #include "fleet/drain_messages.h"
 #include "fleet/limit_messages.h"
 #include "fleet/membership_messages.h"
+#include "fleet/published_messages.h"
 
 namespace damasktack {
 
@@ -33,7 +34,9 @@
                                  ClaimAsk,
                                  ClaimAnswer,
                                  ClaimSettle,
-                                 ClaimSettled>;
+                                 ClaimSettled,
+                                 FeedHello,
+                                 FeedUpdate>;
 
 }  // namespace damasktack
 
--- /dev/null
+++ b/fleet/published_loop.cc
@@ -0,0 +1,204 @@
+#include "fleet/published_loop.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+#include "fleet/peer_codec.h"
+
+namespace damasktack {
+
+namespace {
+
+// A stop interrupts a call that is waiting; one that has not connected yet
+// does not hear of the first interruption.
+constexpr Duration kStopPoll = std::chrono::milliseconds(5);
+
+std::vector<PeerAddress> ToPeers(const std::vector<SocketAddress>& seeds) {
+  std::vector<PeerAddress> peers;
+  peers.reserve(seeds.size());
+  for (const SocketAddress& it : seeds) {
+    peers.push_back({"", it.ip, it.port});
+  }
+  return peers;
+}
+
+}  // namespace
+
+PublishedLoop::PublishedLoop(PublishedFeedOptions options,
+                             PublishedSource& source,
+                             PublishedLoopEvents& events,
+                             std::uint64_t random_seed)
+    : source_(source),
+      events_(events),
+      feed_(std::move(options), random_seed) {}
+
+PublishedLoop::~PublishedLoop() {
+  Stop();
+}
+
+void PublishedLoop::Start(PeerTransport* transport) {
+  transport_ = transport;
+  running_ = true;
+  thread_ = std::thread([this] { Run(); });
+}
+
+void PublishedLoop::Stop() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_all();
+  while (running_) {
+    source_.Interrupt();
+    std::this_thread::sleep_for(kStopPoll);
+  }
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+FeedCounters PublishedLoop::counters() const {
+  const std::lock_guard lock(mutex_);
+  return feed_.counters();
+}
+
+bool PublishedLoop::reads_store() const {
+  const std::lock_guard lock(mutex_);
+  return feed_.reads_store();
+}
+
+std::optional<Duration> PublishedLoop::Age(TimePoint now) const {
+  const std::lock_guard lock(mutex_);
+  return feed_.Age(now);
+}
+
+void PublishedLoop::Run() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    const FeedStep step = feed_.Next(Clock::now());
+    Settle(lock);
+    if (stopping_) {
+      break;
+    }
+    if (step.kind == FeedStep::Kind::kWait) {
+      wake_.wait_for(lock, step.time);
+      continue;
+    }
+    lock.unlock();
+    CarryOut(step);
+    lock.lock();
+  }
+  running_ = false;
+}
+
+template <typename Call, typename Take>
+void PublishedLoop::CallStore(Call call, Take take) {
+  Try(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(items, call());
+        const std::lock_guard lock(mutex_);
+        take(items);
+        return {};
+      },
+      [&](const Error& error) {
+        const std::lock_guard lock(mutex_);
+        feed_.OnFailure(error, Clock::now());
+      });
+}
+
+void PublishedLoop::CarryOut(const FeedStep& step) {
+  if (step.kind == FeedStep::Kind::kReadAll) {
+    CallStore([&] { return source_.ReadAll(step.time); },
+              [&](const PublishedItems& items) {
+                feed_.OnReadAll(items, Clock::now());
+              });
+    return;
+  }
+  Revision after = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    after = feed_.view().revision();
+  }
+  CallStore([&] { return source_.Watch(after, step.time); },
+            [&](const PublishedItems& items) {
+              feed_.OnWatched(items, Clock::now());
+            });
+}
+
+void PublishedLoop::Settle(std::unique_lock<std::mutex>& lock) {
+  const TimePoint now = Clock::now();
+  feed_.Feed(now, out_);
+  std::vector<Outbox::Item> items = out_.Take();
+  const std::vector<SocketAddress> seeds = feed_.WantedSeeds(now);
+  const bool has_new_seeds = seeds != seeds_;
+  seeds_ = seeds;
+  for (const Error& it : feed_.view().TakeRefused()) {
+    spdlog::error("event=published-value-refused {}", ToString(it));
+  }
+  const bool changed = feed_.view().TakeChanged();
+  std::unique_lock telling(telling_, std::defer_lock);
+  if (changed) {
+    // Taken before the other lock is let go, so that no older state is told
+    // after a newer one.
+    telling.lock();
+  }
+  PublishedState state;
+  if (changed) {
+    state = {feed_.view().routes(), feed_.view().Endpoints()};
+  }
+  lock.unlock();
+  if (changed) {
+    events_.OnPublished(state);
+    telling.unlock();
+  }
+  SendFrames(std::move(items));
+  if (has_new_seeds && transport_ != nullptr) {
+    transport_->SetPeers(ToPeers(seeds));
+  }
+  lock.lock();
+}
+
+void PublishedLoop::SendFrames(std::vector<Outbox::Item> items) {
+  if (transport_ == nullptr) {
+    return;
+  }
+  for (const Outbox::Item& it : items) {
+    transport_->Send(it.to.text(), EncodePeerMessage(it.message));
+  }
+}
+
+void PublishedLoop::OnLinkUp(const std::string& host,
+                             std::uint64_t /*incarnation*/) {
+  std::unique_lock lock(mutex_);
+  feed_.OnLinkUp(HostId(host), Clock::now(), out_);
+  Settle(lock);
+}
+
+void PublishedLoop::OnLinkDown(const std::string& host,
+                               std::uint64_t /*incarnation*/) {
+  const std::lock_guard lock(mutex_);
+  feed_.OnLinkDown(HostId(host), Clock::now());
+}
+
+void PublishedLoop::OnFrame(const std::string& host,
+                            std::uint64_t /*incarnation*/,
+                            std::string frame) {
+  Try(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(message, DecodePeerMessage(frame));
+        if (!message) {
+          return {};
+        }
+        std::unique_lock lock(mutex_);
+        feed_.OnMessage(HostId(host), *message, Clock::now(), out_);
+        Settle(lock);
+        return {};
+      },
+      [&](const Error& error) {
+        spdlog::warn("event=peer-frame-refused peer={} {}", host,
+                     ToString(error));
+      });
+}
+
+}  // namespace damasktack
--- /dev/null
+++ b/fleet/published_messages.h
@@ -0,0 +1,57 @@
+#ifndef FLEET_PUBLISHED_MESSAGES_H_
+#define FLEET_PUBLISHED_MESSAGES_H_
+
+#include <string>
+#include <string_view>
+
+#include "core/json_reader.h"
+#include "fleet/published_source.h"
+
+namespace damasktack {
+
+// Opens the exchange of what is published on a new link, and asks again after
+// a gap.
+struct FeedHello {
+  static constexpr std::string_view kKind = "feed-hello";
+
+  // Place among the seeds; a host that is none has kNoSeed. What is published
+  // passes from lower ranks to higher ones only, so that it goes in no circle.
+  std::int64_t rank = 0;
+  // Where peers reach the sender.
+  SocketAddress address;
+  // What the sender has already.
+  Revision revision = 0;
+
+  static constexpr std::int64_t kNoSeed = 1'000'000;
+
+  Json ToJson() const;
+  static leaf::result<FeedHello> Parse(const Json& json,
+                                       const std::string& path);
+
+  bool operator==(const FeedHello&) const = default;
+};
+
+// Changes after a revision, or none: then it says that nothing has changed.
+struct FeedUpdate {
+  static constexpr std::string_view kKind = "feed-update";
+
+  // The receiver must have this revision for the changes to be all.
+  Revision after = 0;
+  PublishedItems changes;
+  // The changes are all there is; what they lack is published no more.
+  bool whole = false;
+  // Endpoints removed may only have lost their lease while the store was away.
+  bool after_outage = false;
+  // How long ago the store confirmed that `changes.current` is the newest.
+  Duration age{};
+
+  Json ToJson() const;
+  static leaf::result<FeedUpdate> Parse(const Json& json,
+                                        const std::string& path);
+
+  bool operator==(const FeedUpdate&) const = default;
+};
+
+}  // namespace damasktack
+
+#endif  // FLEET_PUBLISHED_MESSAGES_H_
--- a/fleet/published_source.h
+++ b/fleet/published_source.h
@@ -16,11 +16,15 @@
 // An endpoint that is published no more.
 struct RemovedEndpoint {
   EndpointId id;
+
+  bool operator==(const RemovedEndpoint&) const = default;
 };
 
 // A value that could not be read; the last good one stays in force.
 struct UnreadableValue {
   Error error;
+
+  bool operator==(const UnreadableValue&) const = default;
 };
 
 using PublishedValue = std::
@@ -30,12 +34,16 @@
   // Of its last change; goes up over all items together.
   Revision revision = 0;
   PublishedValue value;
+
+  bool operator==(const PublishedItem&) const = default;
 };
 
 struct PublishedItems {
   std::vector<PublishedItem> items;
   // Changes up to here are in the items.
   Revision current = 0;
+
+  bool operator==(const PublishedItems&) const = default;
 };
 
 // Routes and endpoints as the platform publishes them: read and watched, never
--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -31,9 +31,13 @@
     }
   }
   for (const EndpointId& it : missing) {
+    Remember(it, all.current);
     Miss(it, after_outage, now);
   }
   revision_ = std::max(revision_, all.current);
+  if (!complete_after_) {
+    complete_after_ = revision_;
+  }
 }
 
 void PublishedView::TakeChanges(const PublishedItems& changes,
@@ -49,7 +53,7 @@
                          bool after_outage,
                          TimePoint now) {
   if (const auto* book = std::get_if<RouteBook>(&item.value)) {
-    TakeRoutes(*book);
+    TakeRoutes(*book, item.revision);
   } else if (const auto* endpoint =
                  std::get_if<PublishedEndpoint>(&item.value)) {
     TakeEndpoint(*endpoint, item.revision);
@@ -60,16 +64,22 @@
       it->second.revision = item.revision;
       Miss(removed->id, after_outage, now);
     }
-    if (removed_.size() >= kMostRemoved) {
-      removed_.clear();
-    }
-    removed_[removed->id] = std::max(removed_[removed->id], item.revision);
+    Remember(removed->id, item.revision);
   } else {
     refused_.push_back(std::get<UnreadableValue>(item.value).error);
   }
 }
 
-void PublishedView::TakeRoutes(const RouteBook& book) {
+void PublishedView::Remember(const EndpointId& removed, Revision revision) {
+  if (removed_.size() >= kMostRemoved) {
+    removed_.clear();
+    complete_after_ = std::max(revision_, revision);
+  }
+  Revision& known = removed_[removed];
+  known = std::max(known, revision);
+}
+
+void PublishedView::TakeRoutes(const RouteBook& book, Revision revision) {
   if (routes_ && book.version <= routes_->version) {
     return;
   }
@@ -80,6 +90,7 @@
     return;
   }
   routes_ = std::make_shared<RouteBook>(book);
+  routes_revision_ = revision;
   changed_ = true;
 }
 
@@ -152,6 +163,25 @@
   return endpoints;
 }
 
+PublishedItems PublishedView::ChangesAfter(Revision after) const {
+  PublishedItems changes;
+  changes.current = revision_;
+  if (routes_ && routes_revision_ > after) {
+    changes.items.push_back({routes_revision_, *routes_});
+  }
+  for (const auto& [id, entry] : endpoints_) {
+    if (entry.revision > after && !entry.missing_since) {
+      changes.items.push_back({entry.revision, entry.endpoint});
+    }
+  }
+  for (const auto& [id, revision] : removed_) {
+    if (revision > after) {
+      changes.items.push_back({revision, RemovedEndpoint{id}});
+    }
+  }
+  return changes;
+}
+
 bool PublishedView::TakeChanged() {
   return std::exchange(changed_, false);
 }
--- a/fleet/published_view.h
+++ b/fleet/published_view.h
@@ -37,6 +37,13 @@
   const std::shared_ptr<const RouteBook>& routes() const { return routes_; }
   std::vector<PublishedEndpoint> Endpoints() const;
   Revision revision() const { return revision_; }
+  // What has changed after a revision; all of it after 0.
+  PublishedItems ChangesAfter(Revision after) const;
+  // Whether these changes name every removal. A view that began later does not
+  // know what was removed before.
+  bool KnowsRemovalsAfter(Revision after) const {
+    return complete_after_ && after >= *complete_after_;
+  }
   // Whether something differs from the last call.
   bool TakeChanged();
   // Values refused since the last call.
@@ -50,15 +57,19 @@
   };
 
   void Take(const PublishedItem& item, bool after_outage, TimePoint now);
-  void TakeRoutes(const RouteBook& book);
+  void TakeRoutes(const RouteBook& book, Revision revision);
   void TakeEndpoint(const PublishedEndpoint& endpoint, Revision revision);
+  void Remember(const EndpointId& removed, Revision revision);
   void Miss(const EndpointId& id, bool after_outage, TimePoint now);
 
   std::shared_ptr<const RouteBook> routes_;
+  Revision routes_revision_ = 0;
   std::map<EndpointId, Entry> endpoints_;
   // Removed endpoints by the revision of their removal, so that an older read
   // does not bring them back.
   std::map<EndpointId, Revision> removed_;
+  // From which revision on `removed_` names all removals.
+  std::optional<Revision> complete_after_;
   std::vector<Error> refused_;
   Revision revision_ = 0;
   bool changed_ = false;
--- a/main/settings.h
+++ b/main/settings.h
@@ -37,7 +37,7 @@
   bool enabled = false;
   SocketAddress address;
   // One watch waits this long.
-  Duration watch = std::chrono::seconds(4);
+  Duration watch = std::chrono::milliseconds(600);
   // Changes that come within this time cost one call together.
   Duration gather = std::chrono::milliseconds(150);
   // Hosts that share the endpoints, as long as nothing better is known.
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -9,6 +9,7 @@
 #include <thread>
 #include <utility>
 
+#include "main/fleet_node.h"
 #include "platform/kv_names.h"
 
 namespace damasktack {
@@ -18,6 +19,12 @@
 constexpr Duration kStopPoll = std::chrono::milliseconds(10);
 // Without any caller's connection for this long, the stop is done.
 constexpr Duration kQuietBeforeEnd = std::chrono::milliseconds(50);
+// Hosts that may dial at once: all of a large fleet after it was restarted.
+constexpr std::size_t kMostFollowers = 1024;
+// A link on which nothing came for this long is dialed again; both sides speak
+// at least every second and a half.
+constexpr std::chrono::milliseconds kLinkSilence(4000);
+constexpr std::chrono::milliseconds kLongestDialBackoff(1000);
 // In which connections that are idle when the lag is over end: the time that
 // they are given, and some more.
 constexpr Duration kIdleEndTime = std::chrono::milliseconds(520);
@@ -28,13 +35,35 @@
   return options;
 }
 
-PublishedReaderOptions MakeReaderOptions(const StoreOptions& store) {
-  PublishedReaderOptions options;
-  options.watch = store.watch;
-  options.gather = store.gather;
+PublishedFeedOptions MakeFeedOptions(const Settings& settings) {
+  PublishedFeedOptions options;
+  options.self = settings.host;
+  options.watch = settings.store.watch;
+  options.gather = settings.store.gather;
+  if (settings.fleet.enabled) {
+    options.address = settings.fleet.listen;
+    options.seeds = settings.fleet.seeds;
+  }
   return options;
 }
 
+std::unique_ptr<WebsocketTransport> MakeTransport(const Settings& settings,
+                                                  PeerTransportEvents& events) {
+  if (!settings.fleet.enabled) {
+    return nullptr;
+  }
+  WebsocketTransportOptions options;
+  options.host = settings.host.text();
+  options.incarnation = DrawIncarnation();
+  options.fleet_key = settings.fleet.key;
+  options.listen_ip = settings.fleet.listen.ip;
+  options.listen_port = settings.fleet.listen.port;
+  options.unproved_connections = kMostFollowers;
+  options.silence_timeout = kLinkSilence;
+  options.longest_backoff = kLongestDialBackoff;
+  return std::make_unique<WebsocketTransport>(std::move(options), events);
+}
+
 // The services of a book with the endpoints published for them.
 std::vector<ServiceSpec> MakeServices(const PublishedState& state) {
   std::map<ServiceId, ServiceSpec> services;
@@ -72,26 +101,41 @@
       callers_(state_),
       admin_(settings_.admin, *this),
       source_(settings_.store.address),
-      reader_(MakeReaderOptions(settings_.store),
-              source_,
-              *this,
-              std::random_device()()) {}
+      published_(MakeFeedOptions(settings_),
+                 source_,
+                 *this,
+                 std::random_device()()),
+      transport_(MakeTransport(settings_, published_)) {}
 
 StoreDaemon::~StoreDaemon() {
   callers_.Stop();
-  reader_.Stop();
+  StopPublished();
 }
 
 leaf::result<void> StoreDaemon::Start() {
   state_.SetIsCurrent([this] { return has_routes_.load(); });
   BOOST_LEAF_CHECK(callers_.Start());
   BOOST_LEAF_CHECK(admin_.Start());
-  reader_.Start();
+  if (transport_) {
+    if (const std::error_code problem = transport_->Start()) {
+      return Fail(ErrorKind::kInvalidAddress, "fleet.listen",
+                  ToString(settings_.fleet.listen) + ": " + problem.message(),
+                  "choose an address of this host with a free port");
+    }
+  }
+  published_.Start(transport_.get());
   spdlog::info("event=started host={} zone={} callers={}",
                settings_.host.text(), settings_.zone.text(), callers_.port());
   return {};
 }
 
+void StoreDaemon::StopPublished() {
+  published_.Stop();
+  if (transport_) {
+    transport_->Stop();
+  }
+}
+
 void StoreDaemon::OnPublished(const PublishedState& state) {
   if (!state.routes) {
     return;
@@ -140,7 +184,7 @@
   }
   const std::int64_t cut = state_.calls_in_flight();
   callers_.Stop();
-  reader_.Stop();
+  StopPublished();
   spdlog::info("event=stopped host={} cut={}", settings_.host.text(), cut);
 }
 
@@ -156,17 +200,26 @@
 }
 
 std::string StoreDaemon::Metrics() const {
-  const PublishedReaderCounters reader = reader_.counters();
+  const FeedCounters feed = published_.counters();
+  const Duration age = published_.Age(Clock::now()).value_or(Duration(-1));
   std::ostringstream out;
   out << state_.RenderMetrics(Clock::now())
       << "# TYPE damasktack_store_reads_total counter\n"
-      << "damasktack_store_reads_total " << reader.reads << "\n"
+      << "damasktack_store_reads_total " << feed.reads << "\n"
       << "# TYPE damasktack_store_watches_total counter\n"
-      << "damasktack_store_watches_total " << reader.watches << "\n"
+      << "damasktack_store_watches_total " << feed.watches << "\n"
       << "# TYPE damasktack_store_failures_total counter\n"
-      << "damasktack_store_failures_total " << reader.failures << "\n"
-      << "# TYPE damasktack_store_refused_total counter\n"
-      << "damasktack_store_refused_total " << reader.refused << "\n";
+      << "damasktack_store_failures_total " << feed.failures << "\n"
+      << "# TYPE damasktack_feed_updates_received_total counter\n"
+      << "damasktack_feed_updates_received_total " << feed.updates_received
+      << "\n"
+      << "# TYPE damasktack_feed_updates_sent_total counter\n"
+      << "damasktack_feed_updates_sent_total " << feed.updates_sent << "\n"
+      << "# TYPE damasktack_store_reader gauge\n"
+      << "damasktack_store_reader " << published_.reads_store() << "\n"
+      << "# TYPE damasktack_published_age_seconds gauge\n"
+      << "damasktack_published_age_seconds "
+      << std::chrono::duration<double>(age).count() << "\n";
   return out.str();
 }
 
--- a/main/store_daemon.h
+++ b/main/store_daemon.h
@@ -8,17 +8,18 @@
 #include "admin/admin_server.h"
 #include "fleet/claim_gate.h"
 #include "fleet/limit_gate.h"
-#include "fleet/published_reader.h"
+#include "fleet/published_loop.h"
 #include "main/settings.h"
 #include "platform/kv_client.h"
 #include "proxy/caller_server.h"
+#include "wire/websocket_transport.h"
 
 namespace damasktack {
 
 // One entry host of a deployment that publishes routes and endpoints in a
 // key-value store: callers, endpoints, the reader and the open part of the
 // administration API.
-class StoreDaemon : public AdminSource, private PublishedReaderEvents {
+class StoreDaemon : public AdminSource, private PublishedLoopEvents {
  public:
   explicit StoreDaemon(Settings settings);
   ~StoreDaemon() override;
@@ -46,6 +47,7 @@
 
  private:
   void OnPublished(const PublishedState& state) override;
+  void StopPublished();
   void LogChange(const PublishedState& state) const;
 
   const Settings settings_;
@@ -55,7 +57,9 @@
   CallerServer callers_;
   AdminServer admin_;
   KvClient source_;
-  PublishedReader reader_;
+  PublishedLoop published_;
+  // Null where this host runs alone.
+  std::unique_ptr<WebsocketTransport> transport_;
   const TimePoint started_at_ = Clock::now();
   // Routes are known, so that an unknown path can be told from an unread one.
   std::atomic<bool> has_routes_ = false;
--- /dev/null
+++ b/tests/fleet/feed_world.h
@@ -0,0 +1,271 @@
+#ifndef TESTS_FLEET_FEED_WORLD_H_
+#define TESTS_FLEET_FEED_WORLD_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fleet/published_feed.h"
+
+namespace damasktack {
+
+// A store and hosts that feed each other, in memory and in steps of ten
+// milliseconds. A store call is answered in the step it is made in, a message
+// arrives in the next one.
+class FeedWorld {
+ public:
+  static constexpr Duration kStep = std::chrono::milliseconds(10);
+
+  struct Host {
+    std::unique_ptr<PublishedFeed> feed;
+    // Since when a rule with a time bound holds for it.
+    TimePoint well_since;
+    bool is_up = true;
+    bool is_frozen = false;
+    bool reaches_store = true;
+    // Of a watch that waits.
+    std::optional<TimePoint> watch_until;
+    Revision watch_after = 0;
+    TimePoint wait_until;
+    std::set<std::string> links;
+    std::uint64_t newest_version = 0;
+  };
+
+  FeedWorld(int hosts, int seeds) : seeds_(seeds) {
+    for (int n = 0; n < hosts; ++n) {
+      hosts_["h" + std::to_string(n)];
+    }
+    for (auto& [name, host] : hosts_) {
+      Start(name);
+    }
+    SetVersion(1);
+  }
+
+  // Changes at the store.
+  void SetVersion(std::uint64_t version) {
+    book_.version = version;
+    book_revision_ = ++revision_;
+  }
+  void AddEndpoint(const std::string& id) {
+    PublishedEndpoint endpoint;
+    endpoint.spec.id = EndpointId(id);
+    endpoints_[id] = {++revision_, endpoint};
+  }
+  void RemoveEndpoint(const std::string& id) {
+    if (endpoints_.erase(id) > 0) {
+      removed_[id] = {++revision_, now_};
+    }
+  }
+
+  // Disruptions.
+  void Kill(const std::string& name) {
+    Host& host = hosts_.at(name);
+    host.is_up = false;
+    DropLinks(name);
+  }
+  void Start(const std::string& name) {
+    Host& host = hosts_.at(name);
+    PublishedFeedOptions options;
+    options.self = HostId(name);
+    options.address = AddressOf(name);
+    for (int n = 0; n < seeds_; ++n) {
+      options.seeds.push_back(AddressOf("h" + std::to_string(n)));
+    }
+    host.feed = std::make_unique<PublishedFeed>(options, 1);
+    host.is_up = true;
+    host.watch_until.reset();
+    host.wait_until = now_;
+    host.well_since = now_;
+    host.newest_version = 0;
+  }
+  void Freeze(const std::string& name, bool frozen) {
+    hosts_.at(name).is_frozen = frozen;
+    hosts_.at(name).well_since = now_;
+  }
+  void CutFromStore(const std::string& name, bool cut) {
+    hosts_.at(name).reaches_store = !cut;
+    hosts_.at(name).well_since = now_;
+  }
+
+  void Run(Duration time) {
+    const TimePoint end = now_ + time;
+    while (now_ < end) {
+      Step();
+    }
+  }
+
+  std::map<std::string, Host>& hosts() { return hosts_; }
+  TimePoint now() const { return now_; }
+  std::uint64_t store_calls() const { return store_calls_; }
+
+  // Endpoints that a host takes for published although the store removed them
+  // `bound` ago or earlier.
+  std::vector<std::string> Overdue(const Host& host, Duration bound) const {
+    std::vector<std::string> overdue;
+    for (const PublishedEndpoint& it : host.feed->view().Endpoints()) {
+      const auto removed = removed_.find(it.spec.id.text());
+      if (removed != removed_.end() && now_ - removed->second.second > bound) {
+        overdue.push_back(it.spec.id.text());
+      }
+    }
+    return overdue;
+  }
+  std::uint64_t VersionOf(const Host& host) const {
+    const auto& routes = host.feed->view().routes();
+    return routes ? routes->version : 0;
+  }
+
+ private:
+  struct Frame {
+    std::string from;
+    std::string to;
+    PeerMessage message;
+  };
+
+  static SocketAddress AddressOf(const std::string& name) {
+    return {"10.0.0." + name.substr(1), 80};
+  }
+  bool IsReachable(const std::string& name) const {
+    return hosts_.at(name).is_up && !hosts_.at(name).is_frozen;
+  }
+
+  void Step() {
+    now_ += kStep;
+    std::deque<Frame> frames = std::move(frames_);
+    frames_.clear();
+    for (auto& [name, host] : hosts_) {
+      if (host.is_up && !host.is_frozen) {
+        Link(name, host);
+        CallStore(name, host);
+      }
+    }
+    // What is sent to a frozen host waits for it.
+    for (Frame& it : frames) {
+      Host& to = hosts_.at(it.to);
+      if (!to.links.contains(it.from)) {
+        continue;
+      }
+      if (to.is_frozen) {
+        frames_.push_back(std::move(it));
+        continue;
+      }
+      Outbox out;
+      to.feed->OnMessage(HostId(it.from), it.message, now_, out);
+      Send(it.to, out);
+    }
+  }
+
+  void Link(const std::string& name, Host& host) {
+    for (const SocketAddress& it : host.feed->WantedSeeds(now_)) {
+      const std::string seed = "h" + it.ip.substr(it.ip.rfind('.') + 1);
+      if (seed == name || host.links.contains(seed) || !IsReachable(seed)) {
+        continue;
+      }
+      host.links.insert(seed);
+      hosts_.at(seed).links.insert(name);
+      Outbox out;
+      host.feed->OnLinkUp(HostId(seed), now_, out);
+      Send(name, out);
+      hosts_.at(seed).feed->OnLinkUp(HostId(name), now_, out);
+      Send(seed, out);
+    }
+  }
+
+  void DropLinks(const std::string& name) {
+    for (const std::string& it : std::exchange(hosts_.at(name).links, {})) {
+      hosts_.at(it).links.erase(name);
+      hosts_.at(it).feed->OnLinkDown(HostId(name), now_);
+    }
+  }
+
+  void CallStore(const std::string& name, Host& host) {
+    if (host.watch_until) {
+      EndWatch(host);
+    }
+    if (!host.watch_until && now_ >= host.wait_until) {
+      BeginStep(host);
+    }
+    Outbox out;
+    host.feed->Feed(now_, out);
+    Send(name, out);
+  }
+
+  void BeginStep(Host& host) {
+    const FeedStep step = host.feed->Next(now_);
+    host.wait_until = now_;
+    if (step.kind == FeedStep::Kind::kWait) {
+      host.wait_until = now_ + step.time;
+      return;
+    }
+    ++store_calls_;
+    host.watch_after = host.feed->view().revision();
+    host.watch_until = now_ + step.time;
+    if (step.kind == FeedStep::Kind::kReadAll && host.reaches_store) {
+      host.watch_until.reset();
+      host.feed->OnReadAll(Items(0), now_);
+    }
+  }
+
+  // A store that cannot be reached is silent until the call's time is up.
+  void EndWatch(Host& host) {
+    if (!host.reaches_store) {
+      if (now_ >= *host.watch_until + std::chrono::milliseconds(600)) {
+        host.watch_until.reset();
+        host.feed->OnFailure(
+            Error{ErrorKind::kUnreachable, "store", "silence", "wait"}, now_);
+      }
+      return;
+    }
+    if (revision_ > host.watch_after || now_ >= *host.watch_until) {
+      host.watch_until.reset();
+      host.feed->OnWatched(Items(host.watch_after), now_);
+    }
+  }
+
+  PublishedItems Items(Revision after) const {
+    PublishedItems items;
+    items.current = revision_;
+    if (book_revision_ > after) {
+      items.items.push_back({book_revision_, book_});
+    }
+    for (const auto& [id, it] : endpoints_) {
+      if (it.first > after) {
+        items.items.push_back({it.first, it.second});
+      }
+    }
+    for (const auto& [id, it] : removed_) {
+      if (after > 0 && it.first > after) {
+        items.items.push_back({it.first, RemovedEndpoint{EndpointId(id)}});
+      }
+    }
+    return items;
+  }
+
+  void Send(const std::string& from, Outbox& out) {
+    for (Outbox::Item& it : out.Take()) {
+      if (hosts_.at(from).links.contains(it.to.text())) {
+        frames_.push_back({from, it.to.text(), std::move(it.message)});
+      }
+    }
+  }
+
+  const int seeds_;
+  TimePoint now_{std::chrono::hours(1)};
+  std::map<std::string, Host> hosts_;
+  std::deque<Frame> frames_;
+  RouteBook book_;
+  Revision book_revision_ = 0;
+  std::map<std::string, std::pair<Revision, PublishedEndpoint>> endpoints_;
+  std::map<std::string, std::pair<Revision, TimePoint>> removed_;
+  Revision revision_ = 0;
+  std::uint64_t store_calls_ = 0;
+};
+
+}  // namespace damasktack
+
+#endif  // TESTS_FLEET_FEED_WORLD_H_
--- a/tests/fleet/test_peer_codec.cc
+++ b/tests/fleet/test_peer_codec.cc
@@ -35,7 +35,7 @@
   const auto name =
       static_cast<DocumentName>(*rc::gen::inRange<int>(0, kDocumentCount));
   const auto number = *rc::gen::arbitrary<std::uint64_t>();
-  switch (*rc::gen::inRange(0, 6)) {
+  switch (*rc::gen::inRange(0, 7)) {
     case 0:
       return Heartbeat{number, *rc::gen::arbitrary<bool>()};
     case 1:
@@ -44,11 +44,16 @@
       return DocumentDigest{{DocumentVersion{number, 7}, {}, {number / 2, 1}},
                             *rc::gen::arbitrary<bool>()};
     case 3:
-      return DocumentPush{
-          Document{name, number, *rc::gen::arbitrary<std::string>()}};
+      // No document is empty, and an empty text is refused.
+      return DocumentPush{Document{
+          name, number, *rc::gen::nonEmpty(rc::gen::arbitrary<std::string>())}};
     case 4:
-      return DrainSighting{ServiceId(*rc::gen::arbitrary<std::string>()),
-                           EndpointId("e1")};
+      return DrainSighting{
+          ServiceId(*rc::gen::nonEmpty(rc::gen::arbitrary<std::string>())),
+          EndpointId("e1")};
+    case 5:
+      return FeedHello{*rc::gen::inRange<std::int64_t>(0, 100),
+                       SocketAddress{"10.0.0.1", 80}, number};
     default:
       return DocumentAsk{name, {number, number / 3}};
   }
--- /dev/null
+++ b/tests/fleet/test_published_feed.cc
@@ -0,0 +1,247 @@
+#include "fleet/published_feed.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <spdlog/spdlog.h>
+
+#include <string>
+
+#include "feed_world.h"
+#include "fleet/peer_codec.h"
+
+namespace damasktack {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// In which a change has to be known on a host that nothing is wrong with.
+constexpr Duration kInForce = milliseconds(2000);
+// Since when nothing has been wrong with it.
+constexpr Duration kWellFor = seconds(3);
+
+TEST_CASE("all hosts learn a change, and calls do not grow with the fleet") {
+  std::uint64_t calls_of_small = 0;
+  for (const int hosts : {10, 100}) {
+    FeedWorld world(hosts, 3);
+    world.AddEndpoint("e1");
+    world.Run(seconds(5));
+    const std::uint64_t before = world.store_calls();
+    world.SetVersion(2);
+    world.Run(milliseconds(700));
+    for (const auto& [name, host] : world.hosts()) {
+      CAPTURE(name);
+      CHECK(world.VersionOf(host) == 2);
+    }
+    world.Run(seconds(20));
+    const std::uint64_t calls = world.store_calls() - before;
+    CHECK(calls < 45);
+    calls_of_small = calls_of_small == 0 ? calls : calls_of_small;
+    CHECK(calls <= calls_of_small + 5);
+  }
+}
+
+// A caller's request goes to an endpoint that left seconds ago. The first seed
+// is replaced while the endpoint is removed without a word; the new process
+// reads a store in which the endpoint is not, and what it sends its followers
+// as changes cannot name it.
+TEST_CASE("a feeder that has just started tells of removals it never saw") {
+  FeedWorld world(6, 3);
+  world.AddEndpoint("e1");
+  world.AddEndpoint("e2");
+  world.Run(seconds(4));
+  world.Kill("h0");
+  world.RemoveEndpoint("e1");
+  world.Run(milliseconds(300));
+  world.Start("h0");
+  world.Run(milliseconds(1900));
+  for (const auto& [name, host] : world.hosts()) {
+    CAPTURE(name);
+    CHECK(world.Overdue(host, kInForce).empty());
+    CHECK(host.feed->view().Endpoints().size() == 1);
+  }
+}
+
+// The host that feeds the others is frozen, or loses the store without a
+// reset. Its links stay open, so only the age of what it last said tells.
+TEST_CASE("hosts ask the store where their feeder falls silent") {
+  for (const bool frozen : {true, false}) {
+    FeedWorld world(8, 3);
+    world.AddEndpoint("e1");
+    world.Run(seconds(4));
+    if (frozen) {
+      world.Freeze("h0", true);
+    } else {
+      world.CutFromStore("h0", true);
+    }
+    world.Run(milliseconds(20));
+    world.RemoveEndpoint("e1");
+    world.Run(kInForce);
+    for (const auto& [name, host] : world.hosts()) {
+      CAPTURE(name);
+      if (name != "h0") {
+        CHECK(host.feed->view().Endpoints().empty());
+      }
+    }
+  }
+}
+
+TEST_CASE("a host whose seeds are all away reads the store by itself") {
+  FeedWorld world(5, 3);
+  world.Run(seconds(3));
+  for (const char* it : {"h0", "h1", "h2"}) {
+    world.Kill(it);
+  }
+  world.AddEndpoint("e1");
+  world.Run(seconds(2));
+  for (const char* it : {"h3", "h4"}) {
+    CHECK(world.hosts().at(it).feed->view().Endpoints().size() == 1);
+    CHECK(world.hosts().at(it).feed->reads_store());
+  }
+  world.Start("h0");
+  world.Run(seconds(3));
+  for (const char* it : {"h3", "h4"}) {
+    CHECK(!world.hosts().at(it).feed->reads_store());
+  }
+}
+
+// Whatever happens to hosts, links and the store's reachability, and in
+// whatever order: a host that has been well for three seconds knows every
+// removal that is two seconds old, and no host ever goes back to an older
+// version within one life of its process.
+TEST_CASE("generated schedules: in force in time, never back") {
+  spdlog::set_level(spdlog::level::off);
+  CHECK(rc::check("feeds", [] {
+    FeedWorld world(7, 3);
+    for (int n = 0; n < 4; ++n) {
+      world.AddEndpoint("e" + std::to_string(n));
+    }
+    world.Run(seconds(3));
+    std::uint64_t version = 1;
+    int endpoints = 4;
+    const int events = *rc::gen::inRange(5, 25);
+    for (int n = 0; n < events; ++n) {
+      const std::string host = "h" + std::to_string(*rc::gen::inRange(0, 7));
+      FeedWorld::Host& it = world.hosts().at(host);
+      switch (*rc::gen::inRange(0, 8)) {
+        case 0:
+          world.SetVersion(++version);
+          break;
+        case 1:
+          world.AddEndpoint("e" + std::to_string(endpoints++));
+          break;
+        case 2:
+        case 3:
+          world.RemoveEndpoint("e" +
+                               std::to_string(*rc::gen::inRange(0, endpoints)));
+          break;
+        case 4:
+          if (it.is_up && !it.is_frozen) {
+            world.Kill(host);
+          }
+          break;
+        case 5:
+          if (!it.is_up) {
+            world.Start(host);
+          }
+          break;
+        case 6:
+          if (it.is_up) {
+            world.Freeze(host, !it.is_frozen);
+          }
+          break;
+        default:
+          if (it.is_up && !it.is_frozen) {
+            world.CutFromStore(host, it.reaches_store);
+          }
+      }
+      const int steps = *rc::gen::inRange(1, 80);
+      for (int step = 0; step < steps; ++step) {
+        world.Run(FeedWorld::kStep);
+        for (auto& [name, checked] : world.hosts()) {
+          const bool is_well = checked.is_up && !checked.is_frozen &&
+                               checked.reaches_store &&
+                               world.now() - checked.well_since > kWellFor;
+          if (is_well) {
+            RC_ASSERT(world.Overdue(checked, kInForce).empty());
+          }
+          if (checked.is_up) {
+            const std::uint64_t held = world.VersionOf(checked);
+            RC_ASSERT(held >= checked.newest_version);
+            checked.newest_version = held;
+          }
+        }
+      }
+    }
+  }));
+}
+
+TEST_CASE("an update survives the codec") {
+  FeedUpdate update;
+  update.after = 7;
+  update.whole = true;
+  update.after_outage = true;
+  update.age = milliseconds(40);
+  RouteBook book;
+  book.version = 3;
+  Route route;
+  route.host = "a.example";
+  route.prefix = "/x/";
+  route.idempotent = true;
+  route.timeout = milliseconds(1200);
+  route.latency_objective = milliseconds(400);
+  route.targets = {{ServiceId("s"), 90}, {ServiceId("t"), 10}};
+  route.contract.customer = CustomerId("r");
+  route.urgency = Urgency::kBulk;
+  book.routes = {route};
+  book.services = {{ServiceId("s"), "/health", 260}};
+  PublishedEndpoint endpoint;
+  endpoint.service = ServiceId("s");
+  endpoint.spec.id = EndpointId("e");
+  endpoint.spec.address = {"10.0.0.1", 80};
+  endpoint.spec.zone = ZoneId("z");
+  endpoint.spec.state = ListedState::kLeaving;
+  endpoint.cold_for = milliseconds(900);
+  update.changes = {
+      {{9, book}, {10, endpoint}, {11, RemovedEndpoint{EndpointId("g")}}}, 11};
+  Try(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(message, DecodePeerMessage(EncodePeerMessage(update)));
+        const auto& read = std::get<FeedUpdate>(*message);
+        CHECK(read.after == 7);
+        CHECK(read.whole);
+        CHECK(read.after_outage);
+        CHECK(read.age == update.age);
+        CHECK(read.changes.current == 11);
+        REQUIRE(read.changes.items.size() == 3);
+        CHECK(std::get<RouteBook>(read.changes.items[0].value) == book);
+        CHECK(std::get<PublishedEndpoint>(read.changes.items[1].value) ==
+              endpoint);
+        CHECK(std::get<RemovedEndpoint>(read.changes.items[2].value).id ==
+              EndpointId("g"));
+        return {};
+      },
+      [](const Error& error) { FAIL(ToString(error)); });
+}
+
+TEST_CASE("malformed updates are refused with a remedy") {
+  for (const Json& body : {Json{{"after", 1}},
+                           Json{{"after", "x"},
+                                {"current", 1},
+                                {"age_us", 1},
+                                {"items", Json::array()}},
+                           Json{{"after", 1},
+                                {"current", 2},
+                                {"age_us", -5},
+                                {"items", Json::array()}}}) {
+    const auto fault = FaultOf([&]() -> leaf::result<void> {
+      BOOST_LEAF_CHECK(FeedUpdate::Parse(body, "feed-update"));
+      return {};
+    });
+    REQUIRE(fault);
+    CHECK(!fault->remedy.empty());
+  }
+}
+
+}  // namespace
+}  // namespace damasktack
