--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -14,9 +14,22 @@
 constexpr Duration kLongestWait = std::chrono::seconds(1);
 constexpr Duration kShortestWait = std::chrono::milliseconds(1);
 
-std::uint64_t Preference(const HostId& self, const SocketAddress& seed) {
-  const std::string text = self.text() + " " + ToString(seed);
-  return XXH3_64bits(text.data(), text.size());
+// Where a seed stands in a host's order: those first whose address begins like
+// the host's own, since networks number zones so and bytes between zones are
+// billed; among these by a hash, which spreads the hosts over the seeds.
+struct SeedPreference {
+  std::ptrdiff_t differs_at = 0;
+  std::uint64_t hash = 0;
+
+  auto operator<=>(const SeedPreference&) const = default;
+};
+
+SeedPreference PreferenceOf(const PublishedFeedOptions& options,
+                            const SocketAddress& seed) {
+  const std::string& own = options.address.ip;
+  const auto differs = std::ranges::mismatch(own, seed.ip).in1 - own.begin();
+  const std::string text = options.self.text() + " " + ToString(seed);
+  return {-differs, XXH3_64bits(text.data(), text.size())};
 }
 
 }  // namespace
@@ -264,7 +277,7 @@
     return seeds;
   }
   std::ranges::sort(seeds, {}, [&](const SocketAddress& it) {
-    return Preference(options_.self, it);
+    return PreferenceOf(options_, it);
   });
   const Duration unfed =
       std::max<Duration>(now - UnfedSince(now), Duration::zero());
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -27,7 +27,9 @@
   Duration stale = std::chrono::milliseconds(1400);
   Duration seed_stale = std::chrono::milliseconds(1000);
   // How long a host that starts waits for a feed before it asks the store.
-  Duration start_patience = std::chrono::milliseconds(700);
+  // Where all hosts start at once, after a loss of power, this is how long the
+  // whole fleet refuses its callers.
+  Duration start_patience = std::chrono::milliseconds(250);
   // A host tries the next seed where one has not fed it for this long.
   Duration seed_patience = std::chrono::milliseconds(400);
 
--- a/main/settings.cc
+++ b/main/settings.cc
@@ -95,6 +95,7 @@
     BOOST_LEAF_CHECK(CompleteFleetSettings(settings.fleet));
   }
   settings.proxy.balancer.table.zone = settings.zone;
+  settings.proxy.measured.host = settings.host;
   settings.proxy.measured.zone = settings.zone;
   settings.proxy.measured.retries = settings.proxy.balancer.retries;
   // Where hosts share one budget, what each earns for nothing adds up.
--- a/main/settings.h
+++ b/main/settings.h
@@ -40,6 +40,8 @@
   Duration watch = std::chrono::milliseconds(600);
   // Changes that come within this time cost one call together.
   Duration gather = std::chrono::milliseconds(150);
+  // How long a host that starts waits for its peers before it asks the store.
+  Duration start_patience = std::chrono::milliseconds(250);
   // Hosts that share the endpoints, as long as nothing better is known.
   std::int64_t hosts = 16;
 };
--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -112,6 +112,10 @@
                "longest time that one watch waits");
   visitor.Time("gather", options.gather, milliseconds(0), seconds(10),
                "pause after changes, so that further ones come with them");
+  visitor.Time("start_patience", options.start_patience, milliseconds(0),
+               minutes(1),
+               "how long a host that starts waits for its peers before it "
+               "asks the store");
   visitor.Count("hosts", options.hosts, 1, 10'000, "hosts",
                 "hosts that share the endpoints, while nothing better is "
                 "known");
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -40,6 +40,7 @@
   options.self = settings.host;
   options.watch = settings.store.watch;
   options.gather = settings.store.gather;
+  options.start_patience = settings.store.start_patience;
   if (settings.fleet.enabled) {
     options.address = settings.fleet.listen;
     options.seeds = settings.fleet.seeds;
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -1,7 +1,9 @@
 #include "policy/measured_balancer.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
-#include <cmath>
+#include <string>
 #include <utility>
 
 #include "policy/slow_start.h"
@@ -20,8 +22,12 @@
 // An endpoint that has just started works up to twice as long. After its first
 // call, which warms it, a host prefers others that are as free.
 constexpr double kColdCost = 1.35;
-// One that was never measured is looked at before others: left out of the
-// first look it would get no calls while the others suffice.
+// Endpoints that are listed this soon after the first belong to it: where
+// everything starts at once they are published one by one, and none of them is
+// to be looked at before the others.
+constexpr Duration kSettling = std::chrono::seconds(5);
+// One that has joined and was never measured is looked at before others: left
+// out of the first look it would get no calls while the others suffice.
 constexpr double kNewLook = 0.3;
 // One on trial is for calls that find nothing better.
 constexpr double kTrialCost = 2;
@@ -68,11 +74,14 @@
       roster_.OnUnlisted(n, now);
     }
   }
-  const bool first_list = specs_.empty();
+  if (!first_list_at_ && !service.endpoints.empty()) {
+    first_list_at_ = now;
+  }
+  const bool as_warm = first_list_at_ && now - *first_list_at_ < kSettling;
   for (const EndpointSpec& spec : service.endpoints) {
     std::optional<EndpointIndex> index = Find(spec);
     if (!index) {
-      index = roster_.Add(first_list, now);
+      index = roster_.Add(as_warm, now);
       const std::size_t size = std::max<std::size_t>(specs_.size(), *index + 1);
       specs_.resize(size);
       measures_.resize(size);
@@ -85,6 +94,25 @@
     roster_.OnListed(*index, spec.state, now);
   }
   roster_.Recount();
+  ChooseFavoured();
+}
+
+void MeasuredBalancer::ChooseFavoured() {
+  std::vector<std::pair<std::uint64_t, EndpointIndex>> near;
+  for (EndpointIndex n = 0; n < specs_.size(); ++n) {
+    const EndpointRecord& record = roster_.records()[n];
+    if (record.listed && !record.listed_as_leaving && !record.other_zone) {
+      const std::string name = options_.host.text() + specs_[n].id.text();
+      near.emplace_back(XXH3_64bits(name.data(), name.size()), n);
+    }
+  }
+  favoured_.assign(specs_.size(), false);
+  const std::size_t most = std::min(near.size(), options_.favoured);
+  std::ranges::partial_sort(near,
+                            near.begin() + static_cast<std::ptrdiff_t>(most));
+  for (std::size_t n = 0; n < most; ++n) {
+    favoured_[near[n].second] = true;
+  }
 }
 
 std::optional<EndpointIndex> MeasuredBalancer::Find(
@@ -129,9 +157,12 @@
   const double work =
       pace * (1 + kFullCost * filled) + pace * queued / record.slots;
   it.finish = Scaled(usual_time_, work);
-  it.cost = record.other_zone
-                ? it.finish + Scaled(usual_time_, options_.other_zone_cost)
-                : it.finish;
+  it.cost = it.finish;
+  if (record.other_zone) {
+    it.cost += Scaled(usual_time_, options_.other_zone_cost);
+  } else if (!favoured_[index]) {
+    it.cost += Scaled(usual_time_, options_.unfavoured_cost);
+  }
   it.is_good = it.is_fresh && queued == 0 && pace <= options_.good_pace;
   return it;
 }
@@ -184,7 +215,9 @@
     } else if (!measures_[it].HasProbe() &&
                !measures_[it].FailedSince(now - options_.fresh)) {
       unknown.push_back(Weigh(it, now));
-      if (measures_[it].ReportAge(now) < Duration::zero()) {
+      const bool has_joined =
+          roster_.records()[it].state != EndpointState::kServing;
+      if (has_joined && measures_[it].ReportAge(now) < Duration::zero()) {
         unknown.back().cost = Scaled(unknown.back().cost, kNewLook);
       }
     }
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -15,7 +15,8 @@
 namespace damasktack {
 
 struct MeasuredBalancerOptions {
-  // Zone of this host.
+  // This host and its zone.
+  HostId host;
   ZoneId zone;
   AdmissionOptions admission;
   RetryBudgetOptions retries;
@@ -45,6 +46,12 @@
   // What another zone costs, by the time of an execution: crossing costs bytes
   // that are billed.
   double other_zone_cost = 0.15;
+  // Endpoints of its zone to which a host turns first, and what another one
+  // costs, by the time of an execution. Each host has its own, so that it keeps
+  // connections to few and all of them are used alike. More than enough that
+  // some of a first look are neither slow nor full.
+  std::size_t favoured = 8;
+  double unfavoured_cost = 0.08;
   // Calls wait this long for a usable endpoint before they are refused.
   Duration no_endpoint_patience = std::chrono::milliseconds(150);
 };
@@ -135,6 +142,9 @@
                 TimePoint now);
   void Learn(const SendEnd& end);
   void WatchUsable(TimePoint now);
+  // Draws this host's favoured endpoints anew; one that is added or removed
+  // moves no others.
+  void ChooseFavoured();
   std::optional<EndpointIndex> Find(const EndpointSpec& spec) const;
   bool MayMeasure() const;
 
@@ -142,6 +152,7 @@
   Random random_;
   std::vector<EndpointSpec> specs_;
   std::vector<EndpointMeasure> measures_;
+  std::vector<bool> favoured_;
   EndpointRoster roster_;
   MeasurePrior prior_;
   AdmissionQueue queue_;
@@ -152,6 +163,7 @@
   // Mean time of an execution at the usual pace; zero before the first.
   Duration usual_time_{};
   std::optional<TimePoint> unusable_since_;
+  std::optional<TimePoint> first_list_at_;
   // Whether endpoints report at all, by the probes and answers so far.
   std::uint64_t reports_ = 0;
   std::uint64_t silent_answers_ = 0;
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -238,8 +238,7 @@
   offer_.retry_percent = contract.retry_percent;
   offer_.most_sends = route.most_sends;
   const Duration asked = AskedTime(request, names());
-  offer_.deadline =
-      offer_.arrival + std::min(route.timeout, asked - kWayBack);
+  offer_.deadline = offer_.arrival + std::min(route.timeout, asked - kWayBack);
   offer_.on_time_until =
       std::min(offer_.deadline, offer_.arrival + route.latency_objective);
 }
@@ -400,13 +399,15 @@
   SetNamed(request, names().deadline, std::to_string(remaining.count()));
   SetNamed(request, names().attempt, std::to_string(attempt_));
   SetNamed(request, names().expected_endpoint, placement.target.id.text());
-  exchange_ = std::make_shared<EndpointExchange>(loop_.context().get_executor(),
-                                                 loop_.pool(), placement.target,
-                                                 state_.options().exchange,
-                                                 names());
+  exchange_ = std::make_shared<EndpointExchange>(
+      loop_.context().get_executor(), loop_.pool(), placement.target,
+      state_.options().exchange, names());
   if (claim_) {
     claim_->MarkSent();
   }
+  if (!offer_.idempotent) {
+    exchange_->UseYoungConnection();
+  }
   // Named first: g++ 12 destroys the temporaries of a conditional inside a
   // co_await expression twice.
   std::string expected_call;
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -14,6 +14,8 @@
 constexpr unsigned kInformational = 1;
 // More interim answers than this before the final one are a fault.
 constexpr int kMostInterim = 16;
+// How recently a connection was used that counts as young.
+constexpr Duration kYoung = std::chrono::milliseconds(1000);
 // Answers to other calls that are passed over before the connection is given
 // up.
 constexpr int kMostStrays = 4;
@@ -85,7 +87,10 @@
 }
 
 asio::awaitable<bool> EndpointExchange::Connect() {
-  std::optional<Tcp::socket> idle = pool_.Take(target_.address, Clock::now());
+  const TimePoint now = Clock::now();
+  std::optional<Tcp::socket> idle =
+      young_only_ ? pool_.TakeYoung(target_.address, kYoung, now)
+                  : pool_.Take(target_.address, now);
   if (idle) {
     socket_ = std::move(*idle);
     co_return true;
@@ -224,7 +229,7 @@
     return SendResult::kNotConnected;
   }
   return answer.result_int() >= kFirstServerError ? SendResult::kFailed
-                                                   : SendResult::kAnswered;
+                                                  : SendResult::kAnswered;
 }
 
 asio::awaitable<SendResult> EndpointExchange::Transfer(
--- a/proxy/endpoint_exchange.h
+++ b/proxy/endpoint_exchange.h
@@ -48,6 +48,11 @@
                                       TimePoint deadline,
                                       std::string expected_call);
 
+  // For a call that may run once only. An endpoint may have dropped a
+  // connection that was idle without a word, and the outcome of what is sent on
+  // it next is unknown; one that answered a moment ago is hardly ever dropped.
+  void UseYoungConnection() { young_only_ = true; }
+
   // Ends the exchange now by closing its connection, which is how an endpoint
   // learns of a cancellation. Does nothing after Run has ended.
   void Cancel();
@@ -87,6 +92,7 @@
   bool wrote_all_ = false;
   bool writing_ = false;
   bool reusable_ = false;
+  bool young_only_ = false;
 };
 
 }  // namespace damasktack
--- a/proxy/endpoint_pool.cc
+++ b/proxy/endpoint_pool.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace damasktack {
@@ -25,6 +26,19 @@
 
 std::optional<Tcp::socket> EndpointPool::Take(const SocketAddress& address,
                                               TimePoint now) {
+  return TakeWithin(address, longest_idle_, now);
+}
+
+std::optional<Tcp::socket> EndpointPool::TakeYoung(const SocketAddress& address,
+                                                   Duration youngest,
+                                                   TimePoint now) {
+  return TakeWithin(address, std::min(youngest, longest_idle_), now);
+}
+
+std::optional<Tcp::socket> EndpointPool::TakeWithin(
+    const SocketAddress& address,
+    Duration longest,
+    TimePoint now) {
   Connections& connections = by_address_[address];
   ++connections.used;
   std::vector<Idle>& idle = connections.idle;
@@ -33,7 +47,7 @@
     idle.pop_back();
     // An endpoint closes what idles for too long; a call written just then
     // has an unknown outcome. Young connections do not meet that moment.
-    if (now - last.since < longest_idle_ && IsSilent(last.socket)) {
+    if (now - last.since < longest && IsSilent(last.socket)) {
       return std::move(last.socket);
     }
   }
--- a/proxy/endpoint_pool.h
+++ b/proxy/endpoint_pool.h
@@ -34,6 +34,10 @@
   // An idle connection that is fit for a call, if there is one. Every Take is
   // followed by one Put or one Lose.
   std::optional<Tcp::socket> Take(const SocketAddress& address, TimePoint now);
+  // The same with one that was used within `youngest` only.
+  std::optional<Tcp::socket> TakeYoung(const SocketAddress& address,
+                                       Duration youngest,
+                                       TimePoint now);
   // Gives back a connection whose last answer ended cleanly.
   void Put(const EndpointTarget& target, Tcp::socket socket, TimePoint now);
   // The connection taken, or opened instead, has ended.
@@ -56,6 +60,10 @@
     std::size_t used = 0;
   };
 
+  std::optional<Tcp::socket> TakeWithin(const SocketAddress& address,
+                                        Duration longest,
+                                        TimePoint now);
+
   const Duration longest_idle_;
   std::map<SocketAddress, Connections> by_address_;
 };
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -178,6 +178,7 @@
     "an endpoint that has just joined gets a call while others are free") {
   Harness harness(6);
   harness.Offer(MakeCall(1, harness.now));
+  harness.now += std::chrono::seconds(10);
   harness.balancer.SetService(MakeService(7), 1, harness.now);
   harness.reports[6] = MakeReport(0, 1);
   bool is_used = false;
