A line for each call that did not simply succeed; stand-in store; tests of routes

Cause: from a request's id nobody could tell why it failed. Each call that was refused, failed, sent again or late now leaves one line with what decided it, at most 20 a second and 40 at once on a host, the rest counted; lines wait in a bounded queue that drops its oldest.

--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -73,6 +73,11 @@
     next_call_ = now;
   }
   view_.Advance(now);
+  if (options_.early_read && !std::exchange(has_read_early_, true) &&
+      !confirmed_at_) {
+    ++counters_.reads;
+    return {FeedStep::Kind::kReadAnyCopy, options_.start_patience};
+  }
   const bool is_fed = fed_at_ && now - *fed_at_ < StaleAfter();
   const bool reads = rank_ == 0 || (!is_fed && (reads_store_ || IsStale(now)));
   if (reads != reads_store_) {
@@ -115,6 +120,11 @@
          (regained_at_ && now - *regained_at_ < options_.after_outage);
 }
 
+// Confirms nothing: the copy may be old.
+void PublishedFeed::OnReadAnyCopy(const PublishedItems& all, TimePoint now) {
+  view_.TakeAll(all, false, now);
+}
+
 void PublishedFeed::OnReadAll(const PublishedItems& all, TimePoint now) {
   view_.TakeAll(all, IsAfterOutage(now), now);
   is_synced_ = true;
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -27,9 +27,12 @@
   Duration stale = std::chrono::milliseconds(1400);
   Duration seed_stale = std::chrono::milliseconds(1000);
   // How long a host that starts waits for a feed before it asks the store.
-  // Where all hosts start at once, after a loss of power, this is how long the
-  // whole fleet refuses its callers.
   Duration start_patience = std::chrono::milliseconds(250);
+  // Whether a host that starts reads any copy of the store at once. After a
+  // loss of power all hosts start together and nobody can feed them; what an
+  // old copy says is as good as what they knew before, and is confirmed or
+  // replaced within start_patience.
+  bool early_read = false;
   // A host tries the next seed where one has not fed it for this long.
   Duration seed_patience = std::chrono::milliseconds(400);
 
@@ -52,7 +55,7 @@
 
 // What the owner of a feed is to do next.
 struct FeedStep {
-  enum class Kind : std::uint8_t { kWait, kReadAll, kWatch };
+  enum class Kind : std::uint8_t { kWait, kReadAnyCopy, kReadAll, kWatch };
 
   Kind kind = Kind::kWait;
   // The longest wait, of the watch or before the next step.
@@ -81,6 +84,7 @@
 
   // To be called again after each event and when the step's time has passed.
   FeedStep Next(TimePoint now);
+  void OnReadAnyCopy(const PublishedItems& all, TimePoint now);
   void OnReadAll(const PublishedItems& all, TimePoint now);
   void OnWatched(const PublishedItems& changes, TimePoint now);
   void OnFailure(const Error& error, TimePoint now);
@@ -143,6 +147,7 @@
   // When a feed last confirmed it.
   std::optional<TimePoint> fed_at_;
   bool reads_store_ = false;
+  bool has_read_early_ = false;
   // A whole read has come since this host began to read.
   bool is_synced_ = false;
   bool lost_contact_ = false;
--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -108,6 +108,13 @@
 }
 
 void PublishedLoop::CarryOut(const FeedStep& step) {
+  if (step.kind == FeedStep::Kind::kReadAnyCopy) {
+    CallStore([&] { return source_.ReadAnyCopy(step.time); },
+              [&](const PublishedItems& items) {
+                feed_.OnReadAnyCopy(items, Clock::now());
+              });
+    return;
+  }
   if (step.kind == FeedStep::Kind::kReadAll) {
     CallStore([&] { return source_.ReadAll(step.time); },
               [&](const PublishedItems& items) {
--- a/fleet/published_source.h
+++ b/fleet/published_source.h
@@ -56,6 +56,8 @@
   // All items. They are read page by page and are no snapshot: `current` is
   // the revision at the first page, so that a watch from it misses nothing.
   virtual leaf::result<PublishedItems> ReadAll(Duration timeout) = 0;
+  // The same from any copy of the store: cheaper, and perhaps seconds old.
+  virtual leaf::result<PublishedItems> ReadAnyCopy(Duration timeout) = 0;
   // Waits up to `wait` for changes after a revision.
   virtual leaf::result<PublishedItems> Watch(Revision after, Duration wait) = 0;
   // Makes a call that is waiting now fail at once.
--- a/main/damasktack_main.cc
+++ b/main/damasktack_main.cc
@@ -1,6 +1,8 @@
 #include <pthread.h>
 #include <signal.h>
 
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <boost/program_options.hpp>
@@ -82,9 +84,20 @@
   daemon.Stop();
 }
 
+// Lines wait in a bounded queue for a thread of their own, and the oldest are
+// dropped where standard output takes no more: a reader that has stalled must
+// not delay a call.
+void LogWithoutBlocking() {
+  constexpr std::size_t kQueuedLines = 4096;
+  spdlog::init_thread_pool(kQueuedLines, 1);
+  spdlog::set_default_logger(
+      spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("damasktack"));
+}
+
 template <typename Host>
 int Run(damasktack::Settings settings, const std::string& path) {
   const sigset_t signals = BlockStopSignals();
+  LogWithoutBlocking();
   Host daemon(std::move(settings));
   return damasktack::Try(
       [&]() -> damasktack::leaf::result<int> {
--- a/main/settings.h
+++ b/main/settings.h
@@ -42,6 +42,8 @@
   Duration gather = std::chrono::milliseconds(150);
   // How long a host that starts waits for its peers before it asks the store.
   Duration start_patience = std::chrono::milliseconds(250);
+  // Whether a host that starts reads any copy of the store at once.
+  bool early_read = false;
   // Hosts that share the endpoints, as long as nothing better is known.
   std::int64_t hosts = 16;
 };
--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -116,6 +116,9 @@
                minutes(1),
                "how long a host that starts waits for its peers before it "
                "asks the store");
+  visitor.Flag("early_read", options.early_read,
+               "read any copy of the store at once when a host starts, though "
+               "it may be seconds old");
   visitor.Count("hosts", options.hosts, 1, 10'000, "hosts",
                 "hosts that share the endpoints, while nothing better is "
                 "known");
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -41,6 +41,7 @@
   options.watch = settings.store.watch;
   options.gather = settings.store.gather;
   options.start_patience = settings.store.start_patience;
+  options.early_read = settings.store.early_read;
   if (settings.fleet.enabled) {
     options.address = settings.fleet.listen;
     options.seeds = settings.fleet.seeds;
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -41,9 +41,9 @@
 constexpr std::uint64_t kSilentAnswers = 8;
 // Bounds of Retry-After, and what is added at random so that callers that were
 // refused together do not come back together.
-constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(40);
+constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(15);
 constexpr Duration kLongestRetryAfter = std::chrono::seconds(1);
-constexpr Duration kSpreadRetryAfter = std::chrono::milliseconds(60);
+constexpr Duration kSpreadRetryAfter = std::chrono::milliseconds(30);
 
 bool HasHadCalls(const EndpointRecord& record) {
   return record.estimate.own_in_flight() > 0 || record.health.ever_ended();
@@ -267,7 +267,8 @@
     return Step::kWait;
   }
   const CallOffer& offer = call.offer;
-  if (now + best->finish <= offer.on_time_until) {
+  if (now + Scaled(best->finish, options_.on_time_margin) <=
+      offer.on_time_until) {
     return Step::kSend;
   }
   const Duration held_most =
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -43,6 +43,9 @@
   // The part of its latency objective that a call is held back for a better
   // endpoint. What is refused after longer might have gone elsewhere in time.
   double held_part = 0.125;
+  // A call is sent where it would still be on time if it took this much longer
+  // than is expected; work varies by about a third.
+  double on_time_margin = 1.3;
   // What another zone costs, by the time of an execution: crossing costs bytes
   // that are billed.
   double other_zone_cost = 0.15;
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -20,6 +20,8 @@
 constexpr std::int64_t kDeepest = 32;
 constexpr std::int64_t kMostAttempts = 1000;
 constexpr std::chrono::milliseconds kLeastTimeToSend(1);
+// A host that has just started, or woke, is back within this time as a rule.
+constexpr std::chrono::milliseconds kUntilCurrent(150);
 // An answer has to reach its caller before the caller's deadline, which began
 // before the request arrived: both ways, with some room.
 constexpr std::chrono::milliseconds kWayBack(10);
@@ -249,7 +251,9 @@
   // would be served. The fleet's loop counts as current only while it turns,
   // so this is right even where that loop has not run yet.
   if (!state_.IsCurrent()) {
-    co_return Ending::NotRun(MakeFailure(FailureKind::kNotCurrent));
+    Failure failure = MakeFailure(FailureKind::kNotCurrent);
+    failure.retry_after = kUntilCurrent;
+    co_return Ending::NotRun(std::move(failure));
   }
   if (routing_->has_routes()) {
     co_return co_await RouteByHost(request);
@@ -396,6 +400,8 @@
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
       offer_.deadline - Clock::now());
   ++attempt_;
+  ++sends_;
+  last_endpoint_ = placement.target.id;
   SetNamed(request, names().deadline, std::to_string(remaining.count()));
   SetNamed(request, names().attempt, std::to_string(attempt_));
   SetNamed(request, names().expected_endpoint, placement.target.id.text());
@@ -486,6 +492,29 @@
   }
 }
 
+void CallHandler::Log(const Ending& ending, TimePoint now) {
+  CallRecord record;
+  record.call = call_id_;
+  record.customer = offer_.customer;
+  if (service_ != nullptr) {
+    record.service = service_->id;
+  }
+  record.outcome = ending.outcome;
+  if (ending.answer) {
+    record.status = ending.answer->result_int();
+  } else {
+    record.failure = ToString(ending.failure.kind);
+  }
+  record.endpoint = last_endpoint_;
+  record.sends = sends_;
+  record.total = now - offer_.arrival;
+  record.at_endpoints = at_endpoints_;
+  record.left = offer_.on_time_until - now;
+  record.routes_version =
+      routing_->has_routes() ? routing_->book()->version : 0;
+  state_.call_log().Write(record, now);
+}
+
 HttpResponse CallHandler::Render(const HttpRequest& request, Ending ending) {
   if (!ending.answer) {
     state_.counters().CountFailure(ending.failure.kind);
@@ -507,7 +536,9 @@
   offer_.arrival = Clock::now();
   routing_ = state_.routing();
   Ending ending = co_await Admit(request);
-  const Duration total = Clock::now() - offer_.arrival;
+  const TimePoint now = Clock::now();
+  const Duration total = now - offer_.arrival;
+  Log(ending, now);
   state_.metrics().Record({offer_.customer, offer_.urgency},
                           {ending.outcome, total, total - at_endpoints_});
   co_return Render(request, std::move(ending));
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -45,6 +45,8 @@
   // again.
   bool GiveBack(const Placement& placement);
   HttpResponse Render(const HttpRequest& request, Ending ending);
+  // Leaves a line where the call did not simply succeed.
+  void Log(const Ending& ending, TimePoint now);
   void FillOffer(const Contract& contract,
                  const RequestClass& request_class,
                  const HttpRequest& request);
@@ -66,6 +68,8 @@
   std::shared_ptr<ClaimHold> claim_;
   std::shared_ptr<EndpointExchange> exchange_;
   Duration at_endpoints_{};
+  int sends_ = 0;
+  EndpointId last_endpoint_;
   std::int64_t attempt_ = 0;
   bool awaits_claim_ = false;
   bool caller_gone_ = false;
--- /dev/null
+++ b/proxy/call_log.cc
@@ -0,0 +1,52 @@
+#include "proxy/call_log.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace damasktack {
+
+namespace {
+
+std::int64_t ToMs(Duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+bool IsWorthALine(const CallRecord& record) {
+  return record.outcome != Outcome::kComplete || record.sends != 1 ||
+         record.left < Duration::zero();
+}
+
+}  // namespace
+
+void CallLog::Write(const CallRecord& record, TimePoint now) {
+  if (!IsWorthALine(record)) {
+    return;
+  }
+  std::uint64_t left_out = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    if (!budget_.Take(now)) {
+      ++dropped_since_;
+      ++dropped_;
+      return;
+    }
+    left_out = std::exchange(dropped_since_, 0);
+  }
+  spdlog::info(
+      "event=call-ended call={} customer={} service={} outcome={} status={} "
+      "failure={} endpoint={} sends={} total_ms={} at_endpoints_ms={} "
+      "left_ms={} version={} left_out={}",
+      record.call.text(), record.customer.text(), record.service.text(),
+      ToString(record.outcome), record.status, record.failure,
+      record.endpoint.text(), record.sends, ToMs(record.total),
+      ToMs(record.at_endpoints), ToMs(record.left), record.routes_version,
+      left_out);
+}
+
+std::uint64_t CallLog::dropped() const {
+  const std::lock_guard lock(mutex_);
+  return dropped_;
+}
+
+}  // namespace damasktack
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -20,8 +20,8 @@
     std::shared_ptr<ServiceDispatcher>& dispatcher = dispatchers_[service.id];
     if (!dispatcher) {
       const ConnectionShare share{options_.threads, options_.idle_per_endpoint};
-      dispatcher = std::make_shared<ServiceDispatcher>(
-          MakeBalancer(), share, [this] {
+      dispatcher =
+          std::make_shared<ServiceDispatcher>(MakeBalancer(), share, [this] {
             if (on_waiting_) {
               on_waiting_();
             }
@@ -90,6 +90,8 @@
 std::string ProxyState::RenderMetrics(TimePoint now) const {
   std::ostringstream out;
   out << metrics_.Render() << counters_.Render(stopping_)
+      << "# TYPE damasktack_call_lines_dropped_total counter\n"
+      << "damasktack_call_lines_dropped_total " << call_log_.dropped() << "\n"
       << "# TYPE damasktack_probes_total counter\n"
       << "# TYPE damasktack_probe_bytes_total counter\n"
       << "# TYPE damasktack_calls_waiting gauge\n";
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -14,6 +14,7 @@
 #include "fleet/limit_gate.h"
 #include "policy/measured_balancer.h"
 #include "policy/service_balancer.h"
+#include "proxy/call_log.h"
 #include "proxy/call_metrics.h"
 #include "proxy/endpoint_exchange.h"
 #include "proxy/proxy_counters.h"
@@ -58,6 +59,7 @@
   CallMetrics& metrics() { return metrics_; }
   const CallMetrics& metrics() const { return metrics_; }
   ProxyCounters& counters() { return counters_; }
+  CallLog& call_log() { return call_log_; }
 
   // Puts new documents in force for the calls that arrive from now on.
   void SetRouting(RoutingTablePtr table, std::int64_t hosts, TimePoint now);
@@ -106,6 +108,7 @@
   ClaimGate& claims_;
   CallMetrics metrics_;
   ProxyCounters counters_;
+  CallLog call_log_;
   mutable std::shared_mutex mutex_;
   RoutingTablePtr routing_ = std::make_shared<RoutingTable>();
   std::map<ServiceId, std::shared_ptr<ServiceDispatcher>> dispatchers_;
--- /dev/null
+++ b/standin/standin_store.cc
@@ -0,0 +1,161 @@
+#include "standin/standin_store.h"
+
+#include <httplib.h>
+#include <openssl/evp.h>
+
+#include <chrono>
+
+#include "core/json_reader.h"
+
+namespace damasktack {
+
+namespace {
+
+constexpr int kStatusGone = 410;
+constexpr auto kStartPoll = std::chrono::milliseconds(1);
+
+std::string Base64(const std::string& text) {
+  std::string out(4 * ((text.size() + 2) / 3) + 1, '\0');
+  const int n =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  out.resize(static_cast<std::size_t>(n));
+  return out;
+}
+
+std::uint64_t NumberOf(const httplib::Request& req, const char* name) {
+  const std::string text = req.get_param_value(name);
+  return text.empty() ? 0 : std::stoull(text);
+}
+
+}  // namespace
+
+StandinStore::StandinStore(std::size_t page)
+    : page_(page), server_(std::make_unique<httplib::Server>()) {
+  server_->Get("/v1/kv-range",
+               [this](const httplib::Request& req, httplib::Response& res) {
+                 Range(req, res);
+               });
+  server_->Get("/v1/kv-watch",
+               [this](const httplib::Request& req, httplib::Response& res) {
+                 Watch(req, res);
+               });
+  port_ = static_cast<std::uint16_t>(server_->bind_to_any_port("127.0.0.1"));
+  thread_ = std::thread([this] { server_->listen_after_bind(); });
+  while (!server_->is_running()) {
+    std::this_thread::sleep_for(kStartPoll);
+  }
+}
+
+StandinStore::~StandinStore() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  changed_.notify_all();
+  server_->stop();
+  thread_.join();
+}
+
+void StandinStore::Put(const std::string& key, const std::string& value) {
+  const std::lock_guard lock(mutex_);
+  items_[key] = Item{value, ++revision_, false};
+  changed_.notify_all();
+}
+
+void StandinStore::Remove(const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  items_[key] = Item{"", ++revision_, true};
+  changed_.notify_all();
+}
+
+void StandinStore::ForgetHistory() {
+  const std::lock_guard lock(mutex_);
+  history_begins_ = ++revision_;
+  changed_.notify_all();
+}
+
+void StandinStore::RefuseWith(int status) {
+  const std::lock_guard lock(mutex_);
+  refusal_ = status;
+  changed_.notify_all();
+}
+
+std::uint64_t StandinStore::calls() const {
+  const std::lock_guard lock(mutex_);
+  return calls_;
+}
+
+bool StandinStore::Refuses(httplib::Response& res) {
+  ++calls_;
+  if (refusal_ != 0) {
+    res.status = refusal_;
+  }
+  return refusal_ != 0;
+}
+
+void StandinStore::Range(const httplib::Request& req, httplib::Response& res) {
+  const std::lock_guard lock(mutex_);
+  if (Refuses(res)) {
+    return;
+  }
+  const std::string prefix = req.get_param_value("prefix");
+  const std::string after = req.get_param_value("after");
+  Json items = Json::array();
+  bool has_more = false;
+  for (const auto& [key, item] : items_) {
+    if (item.removed || !key.starts_with(prefix) || key <= after) {
+      continue;
+    }
+    if (items.size() == page_) {
+      has_more = true;
+      break;
+    }
+    items.push_back({{"key", key},
+                     {"value", Base64(item.value)},
+                     {"rev", item.revision},
+                     {"create_revision", item.revision},
+                     {"lease", 0}});
+  }
+  const Json body{
+      {"items", items}, {"has_more", has_more}, {"current_rev", revision_}};
+  res.set_content(body.dump(), "application/json");
+}
+
+void StandinStore::Watch(const httplib::Request& req, httplib::Response& res) {
+  std::unique_lock lock(mutex_);
+  if (Refuses(res)) {
+    return;
+  }
+  const std::uint64_t after = NumberOf(req, "after");
+  const std::chrono::milliseconds wait(NumberOf(req, "wait_ms"));
+  changed_.wait_for(lock, wait, [&] {
+    return stopping_ || refusal_ != 0 || revision_ > after;
+  });
+  if (refusal_ != 0) {
+    res.status = refusal_;
+    return;
+  }
+  if (after < history_begins_) {
+    res.status = kStatusGone;
+    return;
+  }
+  Json events = Json::array();
+  for (const auto& [key, item] : items_) {
+    if (item.revision <= after) {
+      continue;
+    }
+    Json event{{"key", key}, {"rev", item.revision}};
+    if (item.removed) {
+      event["removed"] = true;
+    } else {
+      event["value"] = Base64(item.value);
+    }
+    events.push_back(std::move(event));
+  }
+  const Json body{{"events", events}, {"current_rev", revision_}};
+  res.set_content(body.dump(), "application/json");
+}
+
+}  // namespace damasktack
--- a/tests/fleet/feed_world.h
+++ b/tests/fleet/feed_world.h
@@ -205,7 +205,10 @@
     ++store_calls_;
     host.watch_after = host.feed->view().revision();
     host.watch_until = now_ + step.time;
-    if (step.kind == FeedStep::Kind::kReadAll && host.reaches_store) {
+    if (step.kind == FeedStep::Kind::kReadAnyCopy) {
+      host.watch_until.reset();
+      host.feed->OnReadAnyCopy(Items(0), now_);
+    } else if (step.kind == FeedStep::Kind::kReadAll && host.reaches_store) {
       host.watch_until.reset();
       host.feed->OnReadAll(Items(0), now_);
     }
--- /dev/null
+++ b/tests/main/test_store_daemon.cc
@@ -0,0 +1,169 @@
+#include "main/store_daemon.h"
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "standin/standin_store.h"
+
+namespace damasktack {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto kCall = "X-Damasktack-Request-Id";
+
+bool Eventually(const std::function<bool()>& holds) {
+  for (int n = 0; n < 10'000 && !holds(); ++n) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  return holds();
+}
+
+std::string Book(int version, const std::string& prefix) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"resources":[{"resource_type":"routes","metadata":{"name":"r"},
+"spec":{"host":"a.example","prefix":")" +
+         prefix + R"(","kind":"safe","timeout_ms":2000,"service":"s"}},
+{"resource_type":"services","metadata":{"name":"s"},"spec":{}}]})";
+}
+
+std::string Endpoint(int port) {
+  return R"({"address":"127.0.0.1:)" + std::to_string(port) +
+         R"(","info":{"service":"s","zone":"z1","slots":4},
+"status":{"state":"ready"}})";
+}
+
+// An endpoint that answers each call at once, after `takes`.
+class CallEndpoint {
+ public:
+  explicit CallEndpoint(Duration takes) {
+    const auto answer = [takes](const httplib::Request& req,
+                                httplib::Response& res) {
+      std::this_thread::sleep_for(takes);
+      res.set_header(kCall, req.get_header_value(kCall));
+      res.set_content("ran", "text/plain");
+    };
+    server_.Get("/health", [](const httplib::Request&, httplib::Response& res) {
+      res.set_header("X-Damasktack-Server-Load", "0,0,4,100");
+    });
+    server_.Get("/x/.*", answer);
+    port_ = server_.bind_to_any_port("127.0.0.1");
+    thread_ = std::thread([this] { server_.listen_after_bind(); });
+    while (!server_.is_running()) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  }
+  ~CallEndpoint() {
+    server_.stop();
+    thread_.join();
+  }
+  int port() const { return port_; }
+
+ private:
+  httplib::Server server_;
+  int port_ = 0;
+  std::thread thread_;
+};
+
+std::unique_ptr<StoreDaemon> StartDaemon(std::uint16_t store) {
+  Settings settings;
+  settings.host = HostId("h1");
+  settings.zone = ZoneId("z1");
+  settings.proxy.listen = SocketAddress{"127.0.0.1", 0};
+  settings.proxy.threads = 1;
+  settings.proxy.measures_before_sending = true;
+  settings.admin.listen = SocketAddress{"127.0.0.1", 0};
+  settings.admin.public_only = true;
+  settings.store.enabled = true;
+  settings.store.address = SocketAddress{"127.0.0.1", store};
+  settings.stop.lag = milliseconds(50);
+  auto daemon = std::make_unique<StoreDaemon>(settings);
+  Try([&] { return daemon->Start(); },
+      [](const Error& error) { FAIL(ToString(error)); });
+  return daemon;
+}
+
+httplib::Result Ask(const StoreDaemon& daemon, const std::string& path) {
+  httplib::Client client("127.0.0.1", daemon.caller_port());
+  return client.Get(path, {{"Host", "a.example"},
+                           {kCall, "c-1"},
+                           {"X-Damasktack-Deadline-Ms", "2000"}});
+}
+
+TEST_CASE("a host that knows no routes answers 503 and is not ready") {
+  const StandinStore store;
+  const auto daemon = StartDaemon(store.port());
+  const auto answer = Ask(*daemon, "/x/1");
+  REQUIRE(answer);
+  CHECK(answer->status == 503);
+  CHECK(!daemon->Ready());
+}
+
+TEST_CASE("routes and endpoints come into force as the store has them") {
+  const CallEndpoint endpoint(milliseconds(0));
+  StandinStore store;
+  const auto daemon = StartDaemon(store.port());
+  store.Put("op/config", Book(3, "/x/"));
+  store.Put("servers/i-1", Endpoint(endpoint.port()));
+  CHECK(Eventually([&] { return daemon->Ready(); }));
+  CHECK(Eventually([&] {
+    const auto answer = Ask(*daemon, "/x/1");
+    return answer && answer->status == 200 && answer->body == "ran";
+  }));
+  // A value that cannot be followed leaves the last good one in force, and an
+  // older version does not come back.
+  store.Put("op/config", Book(4, "no-slashes"));
+  store.Put("op/config", Book(2, "/old/"));
+  store.Put("op/config", Book(5, "/y/"));
+  CHECK(Eventually([&] { return Ask(*daemon, "/x/1")->status == 404; }));
+  CHECK(Ask(*daemon, "/old/1")->status == 404);
+  store.Put("op/config", Book(6, "/x/"));
+  CHECK(Eventually([&] { return Ask(*daemon, "/x/1")->status == 200; }));
+}
+
+TEST_CASE("calls are served while the store is away") {
+  const CallEndpoint endpoint(milliseconds(0));
+  StandinStore store;
+  store.Put("op/config", Book(3, "/x/"));
+  store.Put("servers/i-1", Endpoint(endpoint.port()));
+  const auto daemon = StartDaemon(store.port());
+  CHECK(Eventually([&] { return Ask(*daemon, "/x/1")->status == 200; }));
+  store.RefuseWith(503);
+  std::this_thread::sleep_for(milliseconds(300));
+  CHECK(Ask(*daemon, "/x/1")->status == 200);
+  store.RefuseWith(0);
+  store.Remove("servers/i-1");
+  store.Put("op/config", Book(4, "/y/"));
+  CHECK(Eventually([&] { return Ask(*daemon, "/x/1")->status == 404; }));
+}
+
+// A caller's request is in flight when the host is told to stop, and another
+// caller connects after the host has stopped taking connections. The first gets
+// its answer; the second is refused before anything of it was read.
+TEST_CASE("a stop finishes what it has taken and takes nothing late") {
+  const CallEndpoint endpoint(milliseconds(900));
+  StandinStore store;
+  store.Put("op/config", Book(3, "/x/"));
+  store.Put("servers/i-1", Endpoint(endpoint.port()));
+  const auto daemon = StartDaemon(store.port());
+  REQUIRE(Eventually([&] {
+    const auto services = daemon->Services();
+    return !services.empty() && !services[0].balancer.table.endpoints.empty();
+  }));
+  int status = 0;
+  std::thread caller([&] { status = Ask(*daemon, "/x/1")->status; });
+  REQUIRE(Eventually([&] { return daemon->Host().calls_in_flight > 0; }));
+  std::thread stop([&] { daemon->Stop(); });
+  CHECK(Eventually([&] { return !Ask(*daemon, "/none/"); }));
+  caller.join();
+  stop.join();
+  CHECK(status == 200);
+}
+
+}  // namespace
+}  // namespace damasktack
