--- a/tests/proxy/test_published_routes.cc
+++ b/tests/proxy/test_published_routes.cc
@@ -127,14 +127,16 @@
 TEST_CASE("a request for an endpoint that is gone is sent to another") {
   std::atomic<int> refused = 0;
   const RawEndpoint other([&](RawConnection& it) {
-    it.ReadMessage();
-    ++refused;
-    it.Send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
-    it.WaitForHangUp();
+    while (!it.ReadMessage().empty()) {
+      ++refused;
+      it.Send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+    }
   });
   const RawEndpoint right([](RawConnection& it) {
-    it.Send(AnswerTo(it.ReadMessage(), "ran"));
-    it.WaitForHangUp();
+    for (std::string request = it.ReadMessage(); !request.empty();
+         request = it.ReadMessage()) {
+      it.Send(AnswerTo(request, "ran"));
+    }
   });
   const RouteFixture proxy({other.port(), right.port()});
   for (int n = 0; n < 8; ++n) {
