--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -176,8 +176,7 @@
 
 asio::awaitable<std::optional<Failure>> CallerSession::ReadHead(
     Parser& parser) {
-  const auto most =
-      static_cast<std::size_t>(state_.bounds().header_bytes);
+  const auto most = static_cast<std::size_t>(state_.bounds().header_bytes);
   std::size_t end = std::string_view::npos;
   while (end == std::string_view::npos) {
     const std::string_view text = TextOf(buf_);
@@ -335,9 +334,8 @@
 
 // A request that has already arrived is answered before the stop.
 bool CallerSession::StaysOpenAfter(const Turn& turn) {
-  return turn.wants_more &&
-         (!state_.stopping() || turns_.size() > 1 || is_reading_ ||
-          HasMoreRequests());
+  return turn.wants_more && (!state_.stopping() || turns_.size() > 1 ||
+                             is_reading_ || HasMoreRequests());
 }
 
 asio::awaitable<void> CallerSession::WriteReady() {
@@ -350,8 +348,8 @@
     const bool stays = StaysOpenAfter(*turn);
     if (!lost_ && !is_closing_) {
       is_closing_ = !stays;
-      const bool written = co_await Write(std::move(*turn->response), stays,
-                                          turn->head_only);
+      const bool written =
+          co_await Write(std::move(*turn->response), stays, turn->head_only);
       if (!written) {
         Lose();
       }
@@ -405,8 +403,8 @@
 void CallerSession::Refuse(Failure failure) {
   state_.counters().CountFailure(failure.kind);
   const auto turn = std::make_shared<Turn>();
-  turn->response = RenderFailure(failure, Outcome::kNotRun, {},
-                                 state_.options().names);
+  turn->response =
+      RenderFailure(failure, Outcome::kNotRun, {}, state_.options().names);
   turns_.push_back(turn);
   asio::co_spawn(
       socket_.get_executor(),
--- a/proxy/routing_table.cc
+++ b/proxy/routing_table.cc
@@ -86,9 +86,9 @@
   if (routes == routes_by_host_.end()) {
     return nullptr;
   }
-  const auto it = std::ranges::find_if(
-      routes->second,
-      [&](const Route* route) { return path.starts_with(route->prefix); });
+  const auto it = std::ranges::find_if(routes->second, [&](const Route* route) {
+    return path.starts_with(route->prefix);
+  });
   return it == routes->second.end() ? nullptr : *it;
 }
 
--- a/tests/proxy/test_endpoint_pool.cc
+++ b/tests/proxy/test_endpoint_pool.cc
@@ -76,7 +76,8 @@
   endpoint.connections = 250;
   service.endpoints = {endpoint};
   ServiceDispatcher dispatcher(
-      std::make_unique<ServiceBalancer>(BalancerOptions{}, 1), ConnectionShare{2, 16}, {});
+      std::make_unique<ServiceBalancer>(BalancerOptions{}, 1),
+      ConnectionShare{2, 16}, {});
   const TimePoint now = Clock::now();
   const auto kept_with = [&](std::int64_t hosts, CallToken token) {
     dispatcher.SetService(service, hosts, now);
