--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -263,7 +263,6 @@
 
 asio::awaitable<CallHandler::Ending> CallHandler::RouteByHost(
     HttpRequest& request) {
-  call_id_ = CallId(std::string(request[names().call]));
   const Route* route =
       routing_->FindRoute(FromBeast(request[http::field::host]),
                           PathOf(FromBeast(request.target())));
@@ -509,7 +508,8 @@
   record.sends = sends_;
   record.total = now - offer_.arrival;
   record.at_endpoints = at_endpoints_;
-  record.left = offer_.on_time_until - now;
+  const bool has_objective = offer_.on_time_until != TimePoint();
+  record.left = has_objective ? offer_.on_time_until - now : Duration::zero();
   record.routes_version =
       routing_->has_routes() ? routing_->book()->version : 0;
   state_.call_log().Write(record, now);
@@ -534,6 +534,9 @@
   const InFlight in_flight(state_.calls_in_flight());
   offer_.token = state_.NextToken();
   offer_.arrival = Clock::now();
+  if (names().callers_name_calls) {
+    call_id_ = CallId(std::string(request[names().call]));
+  }
   routing_ = state_.routing();
   Ending ending = co_await Admit(request);
   const TimePoint now = Clock::now();
