A caller whose call one endpoint refused comes back at once; calls wait for a starting host

Now the balancer says when there is room. The penalty of an endpoint that refuses more than others no longer counts as time, only as preference.

Cause: after a loss of power of all 124 hosts, with 1,582 routes, hosts answered 503 from 0.1 s to 0.7 s after their start (book read 0.35 to 0.6 s later) and callers, who retry once, were lost.

Ruled out: a larger repeat budget (the bound binds), ejection (all refuse alike). Tests: tests/proxy and tests/policy; red without the change in call_handler.

--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -116,6 +116,9 @@
                minutes(1),
                "how long a host that starts waits for its peers before it "
                "asks the store");
+  visitor.Time("start_hold", options.start_hold, milliseconds(0), minutes(1),
+               "until this long after its start a host without routes lets "
+               "calls wait for them; later ones are refused at once");
   visitor.Flag("early_read", options.early_read,
                "read any copy of the store at once when a host starts, though "
                "it may be seconds old");
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -115,7 +115,8 @@
 }
 
 leaf::result<void> StoreDaemon::Start() {
-  state_.SetIsCurrent([this] { return has_routes_.load(); });
+  state_.SetIsCurrent([this] { return has_routes_.load(); },
+                      started_at_ + settings_.store.start_hold);
   BOOST_LEAF_CHECK(callers_.Start());
   BOOST_LEAF_CHECK(admin_.Start());
   if (transport_) {
--- a/policy/balancer.h
+++ b/policy/balancer.h
@@ -64,6 +64,13 @@
                            const SendEnd& end,
                            TimePoint now,
                            Decisions& out) = 0;
+  // When the caller of a call whose last send was finished and surely did not
+  // run may come back with a chance. Zero: what is usual for the failure.
+  virtual Duration RetryAfterSend(const CallOffer& /*offer*/,
+                                  const SendEnd& /*end*/,
+                                  TimePoint /*now*/) {
+    return Duration::zero();
+  }
   virtual void Report(EndpointIndex endpoint,
                       const EndpointReport& report,
                       TimePoint now,
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -148,7 +148,6 @@
   } else if (record.state != EndpointState::kServing && HasHadCalls(record)) {
     pace *= kColdCost;
   }
-  pace *= 1 + record.penalty;
   if (measure.FailedSince(now - kProbeFailureHolds)) {
     pace *= kProbeFailureCost;
   }
@@ -157,13 +156,17 @@
   const double work =
       pace * (1 + kFullCost * filled) + pace * queued / record.slots;
   it.finish = Scaled(usual_time_, work);
-  it.cost = it.finish;
+  // One that fails or refuses more than the others comes after them; what it
+  // does take ends no later for that.
+  const double disfavour = 1 + record.penalty;
+  it.cost = Scaled(it.finish, disfavour);
   if (record.other_zone) {
     it.cost += Scaled(usual_time_, options_.other_zone_cost);
   } else if (!favoured_[index]) {
     it.cost += Scaled(usual_time_, options_.unfavoured_cost);
   }
-  it.is_good = it.is_fresh && queued == 0 && pace <= options_.good_pace;
+  it.is_good =
+      it.is_fresh && queued == 0 && pace * disfavour <= options_.good_pace;
   return it;
 }
 
@@ -374,6 +377,13 @@
   return AfterSend::kRetry;
 }
 
+Duration MeasuredBalancer::RetryAfterSend(const CallOffer& offer,
+                                          const SendEnd& end,
+                                          TimePoint now) {
+  const WaitingCall call{offer, end.endpoint};
+  return RetryAfter(offer, Best(call, now), now);
+}
+
 void MeasuredBalancer::Learn(const SendEnd& end) {
   if (end.result != SendResult::kAnswered) {
     return;
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -83,6 +83,12 @@
                    const SendEnd& end,
                    TimePoint now,
                    Decisions& out) override;
+  // One endpoint's refusal says little of the others: where they have room the
+  // caller is told to come back at once. In a bad second in which endpoints
+  // refuse four calls in ten, a second's wait made one call in seven late.
+  Duration RetryAfterSend(const CallOffer& offer,
+                          const SendEnd& end,
+                          TimePoint now) override;
   void Report(EndpointIndex endpoint,
               const EndpointReport& report,
               TimePoint now,
@@ -106,7 +112,7 @@
     EndpointIndex index = 0;
     // From now to the end of the call.
     Duration finish{};
-    // For ordering: `finish` with what another zone costs.
+    // For ordering: `finish` with what another zone and failures cost.
     Duration cost{};
     double calls = 0;
     double slots = 1;
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -22,6 +22,11 @@
 constexpr std::chrono::milliseconds kLeastTimeToSend(1);
 // A host that has just started, or woke, is back within this time as a rule.
 constexpr std::chrono::milliseconds kUntilCurrent(150);
+// How often a call that waits for a starting host looks again.
+constexpr std::chrono::milliseconds kCurrentPoll(5);
+// The part of the caller's time that such a wait may take: enough is left to
+// try another host.
+constexpr int kPartForCurrent = 3;
 // An answer has to reach its caller before the caller's deadline, which began
 // before the request arrived: both ways, with some room.
 constexpr std::chrono::milliseconds kWayBack(10);
@@ -245,16 +250,35 @@
       std::min(offer_.deadline, offer_.arrival + route.latency_objective);
 }
 
+// False where this host does not get to know in time what is in force. A caller
+// that is refused by a starting host has used up its retry: after a loss of
+// power of a whole fleet with a large route book, hosts refused all calls for
+// 0.6 s although they could have served them a moment later.
+asio::awaitable<bool> CallHandler::AwaitCurrent(const HttpRequest& request) {
+  const TimePoint until =
+      std::min(state_.current_by(),
+               offer_.arrival + AskedTime(request, names()) / kPartForCurrent);
+  while (!state_.IsCurrent()) {
+    if (caller_gone_ || Clock::now() >= until) {
+      co_return false;
+    }
+    co_await Sleep(Clock::now() + kCurrentPoll);
+  }
+  co_return true;
+}
+
 asio::awaitable<CallHandler::Ending> CallHandler::Admit(HttpRequest& request) {
   // A process that was stopped still holds the contracts of before, and calls
   // that came meanwhile are its first work: a customer whose contract is gone
   // would be served. The fleet's loop counts as current only while it turns,
   // so this is right even where that loop has not run yet.
-  if (!state_.IsCurrent()) {
+  const bool is_current = co_await AwaitCurrent(request);
+  if (!is_current) {
     Failure failure = MakeFailure(FailureKind::kNotCurrent);
     failure.retry_after = kUntilCurrent;
     co_return Ending::NotRun(std::move(failure));
   }
+  routing_ = state_.routing();
   if (routing_->has_routes()) {
     co_return co_await RouteByHost(request);
   }
@@ -449,9 +473,7 @@
     if (placement.refusal != Refusal::kNone) {
       call.OnRefused();
       Ending ending = give_up(KindOf(placement.refusal));
-      if (placement.retry_after > Duration::zero()) {
-        ending.failure.retry_after = placement.retry_after;
-      }
+      ending.failure.SetRetryAfter(placement.retry_after);
       co_return ending;
     }
     if (!MaySend()) {
@@ -487,7 +509,12 @@
     if (whole) {
       co_return Ending{call.outcome(), std::move(sent.answer), {}};
     }
-    co_return give_up(FailureOf(sent));
+    Ending ending = give_up(FailureOf(sent));
+    if (ending.outcome == Outcome::kNotRun) {
+      ending.failure.SetRetryAfter(
+          dispatcher_->RetryAfterSend(offer_, end, Clock::now()));
+    }
+    co_return ending;
   }
 }
 
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -28,6 +28,7 @@
   struct Ending;
   struct ClaimEnd;
 
+  asio::awaitable<bool> AwaitCurrent(const HttpRequest& request);
   asio::awaitable<Ending> Admit(HttpRequest& request);
   asio::awaitable<Ending> RouteByContract(HttpRequest& request);
   asio::awaitable<Ending> RouteByHost(HttpRequest& request);
--- a/proxy/failure.h
+++ b/proxy/failure.h
@@ -56,6 +56,14 @@
   std::string found;
   // When a new try has a chance; null where none has.
   std::optional<Duration> retry_after;
+
+  // Takes what is known of this case in place of what is usual; zero says that
+  // nothing is.
+  void SetRetryAfter(Duration known) {
+    if (known > Duration::zero()) {
+      retry_after = known;
+    }
+  }
 };
 
 // A failure with the wait before a new try that is usual for its kind.
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -78,11 +78,15 @@
   }
 
   // Asked before a call is admitted: whether what this host believes has been
-  // checked since it last slept. To be set before the first call.
-  void SetIsCurrent(std::function<bool()> is_current) {
+  // checked since it last slept. Until `expected_by` a call may wait for it;
+  // afterwards it is refused at once. To be set before the first call.
+  void SetIsCurrent(std::function<bool()> is_current,
+                    TimePoint expected_by = TimePoint::min()) {
     is_current_ = std::move(is_current);
+    current_by_ = expected_by;
   }
   bool IsCurrent() const { return !is_current_ || is_current_(); }
+  TimePoint current_by() const { return current_by_; }
 
   CallToken NextToken() { return ++last_token_; }
 
@@ -113,6 +117,7 @@
   RoutingTablePtr routing_ = std::make_shared<RoutingTable>();
   std::map<ServiceId, std::shared_ptr<ServiceDispatcher>> dispatchers_;
   std::function<bool()> is_current_;
+  TimePoint current_by_ = TimePoint::min();
   std::function<void()> on_waiting_;
   std::atomic<CallToken> last_token_ = 0;
   std::atomic<bool> stopping_ = false;
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -71,6 +71,13 @@
   return after;
 }
 
+Duration ServiceDispatcher::RetryAfterSend(const CallOffer& offer,
+                                           const SendEnd& end,
+                                           TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  return balancer_->RetryAfterSend(offer, end, now);
+}
+
 void ServiceDispatcher::Report(EndpointIndex endpoint,
                                const EndpointReport& report,
                                TimePoint now) {
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -67,6 +67,11 @@
                    const SendEnd& end,
                    OnPlaced on_placed,
                    TimePoint now);
+  // When a caller whose call did not run may come back; zero where only what is
+  // usual for the failure is known.
+  Duration RetryAfterSend(const CallOffer& offer,
+                          const SendEnd& end,
+                          TimePoint now);
   void Report(EndpointIndex endpoint,
               const EndpointReport& report,
               TimePoint now);
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -150,6 +150,41 @@
   CHECK(harness.now - call.arrival <= milliseconds(40));
 }
 
+// Endpoints refuse four calls in ten although they have room, and the budget
+// for repeats is spent. The caller comes back once; told to wait for a second
+// it would be late, while another endpoint could take its call now.
+TEST_CASE("a caller that one endpoint refused comes back while there is room") {
+  Harness harness(8);
+  const CallOffer call = MakeCall(1, harness.now);
+  const Decisions out = harness.Offer(call);
+  REQUIRE(out.dispatches.size() == 1);
+  const SendEnd end{.token = 1,
+                    .endpoint = out.dispatches[0].endpoint,
+                    .result = SendResult::kShed,
+                    .took = milliseconds(2),
+                    .report = std::nullopt};
+  CHECK(harness.balancer.RetryAfterSend(call, end, harness.now) <=
+        milliseconds(50));
+}
+
+// A service of which every slot and queue is taken: the caller is told to come
+// back when its call could end in time.
+TEST_CASE("a caller that one endpoint refused waits while all are full") {
+  Harness harness(4);
+  for (EndpointIndex n = 0; n < 4; ++n) {
+    harness.reports[n] = MakeReport(12, 7);
+  }
+  const CallOffer call = MakeCall(1, harness.now);
+  harness.Offer(call);
+  const SendEnd end{.token = 1,
+                    .endpoint = 0,
+                    .result = SendResult::kShed,
+                    .took = milliseconds(2),
+                    .report = std::nullopt};
+  CHECK(harness.balancer.RetryAfterSend(call, end, harness.now) >
+        milliseconds(100));
+}
+
 // A replaced endpoint goes on getting calls until it stops, and these are cut.
 // The store says that it leaves while a call is under way there; the answer to
 // that call comes without a report and was taken for a sign that the endpoint
--- a/tests/proxy/test_published_routes.cc
+++ b/tests/proxy/test_published_routes.cc
@@ -35,9 +35,11 @@
 // A host whose callers go by routes: "/read/" is safe, "/write/" is not.
 class RouteFixture {
  public:
-  explicit RouteFixture(const std::vector<std::uint16_t>& ports) {
+  explicit RouteFixture(const std::vector<std::uint16_t>& ports,
+                        bool measures = false) {
     ProxyOptions options = ProxyFixture::FastOptions();
     options.names = KvProtocolNames();
+    options.measures_before_sending = measures;
     // Each call may be sent once more, whatever came before.
     options.balancer.retries.service_percent = 100;
     state_ = std::make_unique<ProxyState>(options, limits_, claims_);
@@ -48,6 +50,7 @@
     book->routes = {MakeRoute("/read/", true), MakeRoute("/write/", false)};
     ServiceSpec service;
     service.id = ServiceId("s");
+    service.health_path = "/health";
     service.echoes_call = true;
     for (const std::uint16_t port : ports) {
       EndpointSpec endpoint;
@@ -65,6 +68,7 @@
   ~RouteFixture() { server_->Stop(); }
 
   RawConnection Connect() const { return RawConnection::To(server_->port()); }
+  ProxyState& state() const { return *state_; }
   std::string Ask(const std::string& request) const {
     RawConnection caller = Connect();
     caller.Send(request);
@@ -112,6 +116,56 @@
   CHECK(BodyOf(seen) == "body");
 }
 
+// A caller reaches a host that has just started and does not know the routes
+// yet. Refused at once it would have used up its retry although the host knows
+// them a moment later; its call waits for them instead.
+TEST_CASE("a call waits for a starting host that is about to know the routes") {
+  const RawEndpoint endpoint([&](RawConnection& it) {
+    it.Send(AnswerTo(it.ReadMessage(), "ran"));
+    it.WaitForHangUp();
+  });
+  const RouteFixture proxy({endpoint.port()});
+  const TimePoint known_at = Clock::now() + milliseconds(100);
+  proxy.state().SetIsCurrent([=] { return Clock::now() >= known_at; },
+                             Clock::now() + std::chrono::minutes(1));
+  CHECK(StatusOf(proxy.Ask(Request("GET", "/read/x", "c-1"))) == 200);
+}
+
+// The store is out of reach when the host starts, so nobody knows when it will
+// have routes. Its callers are told at once that nothing ran.
+TEST_CASE("a host that stays without routes refuses at once") {
+  const RouteFixture proxy({});
+  proxy.state().SetIsCurrent([] { return false; }, Clock::now());
+  const std::string answer = proxy.Ask(Request("POST", "/write/x", "c-1"));
+  CHECK(StatusOf(answer) == 503);
+  CHECK(HeaderOf(answer, "Retry-After") == "0.150");
+}
+
+// Endpoints refuse some calls although there is room at others, and the budget
+// for repeats is spent. A caller that is sent away for a second comes back too
+// late for its objective; there is room for it at once.
+TEST_CASE("a caller whose call one endpoint refused may come back at once") {
+  const auto refuse = [](RawConnection& it) {
+    for (std::string request = it.ReadMessage(); !request.empty();
+         request = it.ReadMessage()) {
+      const bool is_probe = request.starts_with("GET /health");
+      it.Send(is_probe
+                  ? OkAnswer("", "X-Damasktack-Server-Load: 0,0,16,100\r\n")
+                  : "HTTP/1.1 503 Service Unavailable\r\n"
+                    "X-Damasktack-Not-Executed: 1\r\n"
+                    "Content-Length: 0\r\n\r\n");
+    }
+  };
+  const RawEndpoint first(refuse);
+  const RawEndpoint second(refuse);
+  const RouteFixture proxy({first.port(), second.port()}, true);
+  const std::string answer = proxy.Ask(Request("POST", "/write/x", "c-1"));
+  CHECK(StatusOf(answer) == 503);
+  const double retry_after = std::stod(HeaderOf(answer, "Retry-After"));
+  CHECK(retry_after > 0);
+  CHECK(retry_after < 0.1);
+}
+
 TEST_CASE("no route means 404, and another host's route is none") {
   const RouteFixture proxy({});
   CHECK(StatusOf(proxy.Ask(Request("GET", "/other/", "c-1"))) == 404);
