Hosts that start with a copy wait for their seeds before they ask the store

A host that can serve by a copy now waits 1 s for a seed; with a call that stays below the two seconds in which a change has to be in force.

Ruled out: the dial backoff (0.1 to 1 s; the seeds start 0.3 s after the others).

--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -47,6 +47,10 @@
   return rank_ == FeedHello::kNoSeed ? options_.stale : options_.seed_stale;
 }
 
+Duration PublishedFeed::StartPatience() const {
+  return view_.routes() ? options_.copy_patience : options_.start_patience;
+}
+
 std::optional<Duration> PublishedFeed::Age(TimePoint now) const {
   if (!confirmed_at_) {
     return std::nullopt;
@@ -56,7 +60,7 @@
 
 bool PublishedFeed::IsStale(TimePoint now) const {
   if (!confirmed_at_) {
-    return now - *started_at_ >= options_.start_patience;
+    return now - *started_at_ >= StartPatience();
   }
   return now - *confirmed_at_ >= StaleAfter();
 }
@@ -93,9 +97,8 @@
     wait = std::min<Duration>(wait, *next - now);
   }
   if (!reads_store_) {
-    const TimePoint due = confirmed_at_
-                              ? *confirmed_at_ + StaleAfter()
-                              : *started_at_ + options_.start_patience;
+    const TimePoint due = confirmed_at_ ? *confirmed_at_ + StaleAfter()
+                                        : *started_at_ + StartPatience();
     wait = std::min<Duration>(wait, due - now);
     const TimePoint missed = UnfedSince(now);
     wait = std::min<Duration>(
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -33,6 +33,10 @@
   // old copy says is as good as what they knew before, and is confirmed or
   // replaced within start_patience.
   bool early_read = false;
+  // The same patience where such a copy has been read: the host can serve by
+  // it, and the seeds are back within a second after a loss of power. Leaves
+  // time for a call before what the copy says is two seconds old.
+  Duration copy_patience = std::chrono::milliseconds(1000);
   // A host tries the next seed where one has not fed it for this long.
   Duration seed_patience = std::chrono::milliseconds(400);
 
@@ -120,6 +124,8 @@
   bool Follows(const Peer& peer) const;
   bool IsStale(TimePoint now) const;
   Duration StaleAfter() const;
+  Duration StartPatience() const;
+
   void Confirm(TimePoint at);
   bool IsAfterOutage(TimePoint now) const;
   void SendUpdate(const HostId& host, Peer& peer, TimePoint now, Outbox& out);
--- a/tests/fleet/feed_world.h
+++ b/tests/fleet/feed_world.h
@@ -36,7 +36,9 @@
     std::uint64_t newest_version = 0;
   };
 
-  FeedWorld(int hosts, int seeds) : seeds_(seeds) {
+  // With `early_read` hosts read any copy of the store when they start.
+  FeedWorld(int hosts, int seeds, bool early_read = false)
+      : seeds_(seeds), early_read_(early_read) {
     for (int n = 0; n < hosts; ++n) {
       hosts_["h" + std::to_string(n)];
     }
@@ -73,6 +75,7 @@
     PublishedFeedOptions options;
     options.self = HostId(name);
     options.address = AddressOf(name);
+    options.early_read = early_read_;
     for (int n = 0; n < seeds_; ++n) {
       options.seeds.push_back(AddressOf("h" + std::to_string(n)));
     }
@@ -258,6 +261,7 @@
   }
 
   const int seeds_;
+  const bool early_read_;
   TimePoint now_{std::chrono::hours(1)};
   std::map<std::string, Host> hosts_;
   std::deque<Frame> frames_;
--- a/tests/fleet/test_published_feed.cc
+++ b/tests/fleet/test_published_feed.cc
@@ -105,6 +105,48 @@
   }
 }
 
+// All hosts lose power together and the seeds are the last to be back. Each of
+// the others has read a copy of what is published. Were each of them to ask the
+// store for a newer one before a seed can tell them, a large fleet would ask
+// hundreds of times for what two calls bring.
+TEST_CASE("hosts that start with a copy wait for their seeds") {
+  FeedWorld world(10, 3, true);
+  world.AddEndpoint("e1");
+  world.Run(seconds(4));
+  for (int n = 0; n < 10; ++n) {
+    world.Kill("h" + std::to_string(n));
+  }
+  for (int n = 3; n < 10; ++n) {
+    world.Start("h" + std::to_string(n));
+  }
+  world.Run(milliseconds(700));
+  for (int n = 0; n < 3; ++n) {
+    world.Start("h" + std::to_string(n));
+  }
+  world.Run(seconds(1));
+  for (int n = 3; n < 10; ++n) {
+    const PublishedFeed& feed = *world.hosts().at("h" + std::to_string(n)).feed;
+    CHECK(feed.counters().reads == 1);
+    CHECK(feed.counters().watches == 0);
+    CHECK(feed.Age(world.now()).value_or(kWellFor) < kInForce);
+  }
+}
+
+// The seeds do not come back. What the copy says is as old as it may be when
+// the host asks the store itself.
+TEST_CASE("a host that starts with a copy has it confirmed in time") {
+  FeedWorld world(5, 3, true);
+  world.AddEndpoint("e1");
+  world.Run(seconds(4));
+  for (const char* it : {"h0", "h1", "h2", "h4"}) {
+    world.Kill(it);
+  }
+  world.Start("h4");
+  world.RemoveEndpoint("e1");
+  world.Run(milliseconds(1500));
+  CHECK(world.hosts().at("h4").feed->view().Endpoints().empty());
+}
+
 // Whatever happens to hosts, links and the store's reachability, and in
 // whatever order: a host that has been well for three seconds knows every
 // removal that is two seconds old, and no host ever goes back to an older
