Books pass between hosts as changes where these are small

A view now keeps the last eight steps between books and sends the steps that a peer lacks; a step that does not begin at the peer's book is refused and the whole book asked for.

--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -225,6 +225,10 @@
   } else {
     view_.TakeChanges(update.changes, update.after_outage, now);
   }
+  if (view_.TakeMissesBook()) {
+    out.Send(host, FeedHello{rank_, options_.address, 0});
+    return;
+  }
   // One that knows less than this host confirms nothing.
   if (update.changes.current < view_.revision()) {
     return;
--- a/fleet/published_messages.cc
+++ b/fleet/published_messages.cc
@@ -118,18 +118,45 @@
   return limits;
 }
 
-Json ToJson(const RouteBook& book) {
-  Json routes = Json::array();
-  for (const Route& it : book.routes) {
-    routes.push_back(ToJson(it));
+Json ToJson(const RouteKey& key) {
+  return Json{{"host", key.host}, {"prefix", key.prefix}};
+}
+
+leaf::result<RouteKey> ParseKey(const Json& json, const std::string& path) {
+  RouteKey key;
+  JsonReader reader(json, path);
+  reader.Read("host", key.host);
+  reader.Read("prefix", key.prefix);
+  BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
+  return key;
+}
+
+template <typename T>
+Json ListToJson(const std::vector<T>& list) {
+  Json json = Json::array();
+  for (const T& it : list) {
+    json.push_back(ToJson(it));
   }
-  Json services = Json::array();
-  for (const ServiceTraits& it : book.services) {
-    services.push_back(ToJson(it));
+  return json;
+}
+
+template <typename T, typename Parse>
+leaf::result<std::vector<T>> ParseList(const Json& json,
+                                       const std::string& path,
+                                       Parse parse) {
+  std::vector<T> list;
+  list.reserve(json.size());
+  for (const Json& it : json) {
+    BOOST_LEAF_AUTO(value, parse(it, path));
+    list.push_back(std::move(value));
   }
+  return list;
+}
+
+Json ToJson(const RouteBook& book) {
   return Json{{"version", book.version},
-              {"routes", std::move(routes)},
-              {"services", std::move(services)},
+              {"routes", ListToJson(book.routes)},
+              {"services", ListToJson(book.services)},
               {"limits", ToJson(book.limits)}};
 }
 
@@ -141,18 +168,43 @@
   const Json* services = reader.Array("services");
   const Json* limits = reader.Object("limits");
   BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
-  for (const Json& it : *routes) {
-    BOOST_LEAF_AUTO(route, ParseRoute(it, path));
-    book.routes.push_back(std::move(route));
-  }
-  for (const Json& it : *services) {
-    BOOST_LEAF_AUTO(service, ParseTraits(it, path));
-    book.services.push_back(std::move(service));
-  }
+  BOOST_LEAF_ASSIGN(book.routes, ParseList<Route>(*routes, path, ParseRoute));
+  BOOST_LEAF_ASSIGN(book.services,
+                    ParseList<ServiceTraits>(*services, path, ParseTraits));
   BOOST_LEAF_ASSIGN(book.limits, ParseLimits(*limits, path));
   return book;
 }
 
+Json ToJson(const RouteBookChange& change) {
+  return Json{{"base_version", change.base_version},
+              {"version", change.version},
+              {"changed", ListToJson(change.changed)},
+              {"removed", ListToJson(change.removed)},
+              {"services", ListToJson(change.services)},
+              {"limits", ToJson(change.limits)}};
+}
+
+leaf::result<RouteBookChange> ParseBookChange(const Json& json,
+                                              const std::string& path) {
+  RouteBookChange change;
+  JsonReader reader(json, path);
+  reader.Read("base_version", change.base_version);
+  reader.Read("version", change.version);
+  const Json* changed = reader.Array("changed");
+  const Json* removed = reader.Array("removed");
+  const Json* services = reader.Array("services");
+  const Json* limits = reader.Object("limits");
+  BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
+  BOOST_LEAF_ASSIGN(change.changed,
+                    ParseList<Route>(*changed, path, ParseRoute));
+  BOOST_LEAF_ASSIGN(change.removed,
+                    ParseList<RouteKey>(*removed, path, ParseKey));
+  BOOST_LEAF_ASSIGN(change.services,
+                    ParseList<ServiceTraits>(*services, path, ParseTraits));
+  BOOST_LEAF_ASSIGN(change.limits, ParseLimits(*limits, path));
+  return change;
+}
+
 Json ToJson(const PublishedEndpoint& endpoint) {
   return Json{{"id", endpoint.spec.id.text()},
               {"service", endpoint.service.text()},
@@ -192,6 +244,8 @@
   Json json{{"revision", item.revision}};
   if (const auto* book = std::get_if<RouteBook>(&item.value)) {
     json["routes"] = ToJson(*book);
+  } else if (const auto* change = std::get_if<RouteBookChange>(&item.value)) {
+    json["routes_change"] = ToJson(*change);
   } else if (const auto* endpoint =
                  std::get_if<PublishedEndpoint>(&item.value)) {
     json["endpoint"] = ToJson(*endpoint);
@@ -211,10 +265,13 @@
   reader.Read("revision", item.revision);
   reader.ReadOptional("removed", removed);
   const Json* book = reader.OptionalObject("routes");
+  const Json* change = reader.OptionalObject("routes_change");
   const Json* endpoint = reader.OptionalObject("endpoint");
   BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
   if (book != nullptr) {
     BOOST_LEAF_ASSIGN(item.value, ParseBook(*book, path));
+  } else if (change != nullptr) {
+    BOOST_LEAF_ASSIGN(item.value, ParseBookChange(*change, path));
   } else if (endpoint != nullptr) {
     BOOST_LEAF_ASSIGN(item.value, ParseEndpoint(*endpoint, path));
   } else {
--- a/fleet/published_source.h
+++ b/fleet/published_source.h
@@ -8,6 +8,7 @@
 
 #include "contract/document.h"
 #include "contract/route.h"
+#include "contract/route_book_change.h"
 #include "core/error.h"
 #include "core/time.h"
 
@@ -27,8 +28,12 @@
   bool operator==(const UnreadableValue&) const = default;
 };
 
-using PublishedValue = std::
-    variant<RouteBook, PublishedEndpoint, RemovedEndpoint, UnreadableValue>;
+// Changes of a book come from peers only; the store always holds it whole.
+using PublishedValue = std::variant<RouteBook,
+                                    RouteBookChange,
+                                    PublishedEndpoint,
+                                    RemovedEndpoint,
+                                    UnreadableValue>;
 
 struct PublishedItem {
   // Of its last change; goes up over all items together.
--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -11,6 +11,11 @@
 // Removals remembered; the oldest are forgotten beyond. Many times what leaves
 // within the seconds for which an old read may be on its way.
 constexpr std::size_t kMostRemoved = 4096;
+// Steps between books that are kept, and the part of a book up to which a step
+// is worth more than the book. A peer is behind by one or two as a rule; more
+// come where changes follow each other within a second.
+constexpr std::size_t kMostBookSteps = 8;
+constexpr std::size_t kLargestStepPart = 4;
 
 }  // namespace
 
@@ -46,6 +51,11 @@
   for (const PublishedItem& it : changes.items) {
     Take(it, after_outage, now);
   }
+  // Without the book the rest is not known either: the peer that sent this
+  // would take a reader of it for up to date.
+  if (misses_book_) {
+    return;
+  }
   revision_ = std::max(revision_, changes.current);
 }
 
@@ -54,6 +64,8 @@
                          TimePoint now) {
   if (const auto* book = std::get_if<RouteBook>(&item.value)) {
     TakeRoutes(*book, item.revision);
+  } else if (const auto* change = std::get_if<RouteBookChange>(&item.value)) {
+    TakeRoutesChange(*change, item.revision);
   } else if (const auto* endpoint =
                  std::get_if<PublishedEndpoint>(&item.value)) {
     TakeEndpoint(*endpoint, item.revision);
@@ -89,11 +101,62 @@
     refused_.push_back(*fault);
     return;
   }
+  RememberStep(book, revision);
   routes_ = std::make_shared<RouteBook>(book);
   routes_revision_ = revision;
   changed_ = true;
 }
 
+void PublishedView::TakeRoutesChange(const RouteBookChange& change,
+                                     Revision revision) {
+  if (routes_ && change.version <= routes_->version) {
+    return;
+  }
+  // A feeder that read the store at other moments has merged other versions
+  // into one step. Applied to another book it would leave routes in force that
+  // were removed between.
+  if (!routes_ || change.base_version != routes_->version) {
+    misses_book_ = true;
+    return;
+  }
+  TakeRoutes(ApplyChange(*routes_, change), revision);
+}
+
+void PublishedView::RememberStep(const RouteBook& book, Revision revision) {
+  if (!routes_) {
+    return;
+  }
+  RouteBookChange change = CompareBooks(*routes_, book);
+  const std::size_t size = change.changed.size() + change.removed.size();
+  if (size * kLargestStepPart > book.routes.size()) {
+    // Whoever holds a book from before needs the whole one.
+    book_steps_.clear();
+    return;
+  }
+  book_steps_.push_back({routes_revision_, revision, std::move(change)});
+  if (book_steps_.size() > kMostBookSteps) {
+    book_steps_.pop_front();
+  }
+}
+
+// A peer that has seen everything up to `after` holds the book that was the
+// newest then: the one that the first step after it begins at, if that step is
+// kept.
+void PublishedView::AddRoutesAfter(Revision after, PublishedItems& out) const {
+  if (!routes_ || routes_revision_ <= after) {
+    return;
+  }
+  const auto first = std::ranges::find_if(
+      book_steps_, [&](const BookStep& it) { return it.revision > after; });
+  if (first == book_steps_.end() || first->base > after) {
+    out.items.push_back({routes_revision_, *routes_});
+    return;
+  }
+  for (auto it = first; it != book_steps_.end(); ++it) {
+    out.items.push_back({it->revision, it->change});
+  }
+}
+
 void PublishedView::TakeEndpoint(const PublishedEndpoint& endpoint,
                                  Revision revision) {
   const auto removed = removed_.find(endpoint.spec.id);
@@ -166,9 +229,7 @@
 PublishedItems PublishedView::ChangesAfter(Revision after) const {
   PublishedItems changes;
   changes.current = revision_;
-  if (routes_ && routes_revision_ > after) {
-    changes.items.push_back({routes_revision_, *routes_});
-  }
+  AddRoutesAfter(after, changes);
   for (const auto& [id, entry] : endpoints_) {
     if (entry.revision > after && !entry.missing_since) {
       changes.items.push_back({entry.revision, entry.endpoint});
@@ -182,6 +243,10 @@
   return changes;
 }
 
+bool PublishedView::TakeMissesBook() {
+  return std::exchange(misses_book_, false);
+}
+
 bool PublishedView::TakeChanged() {
   return std::exchange(changed_, false);
 }
--- a/fleet/published_view.h
+++ b/fleet/published_view.h
@@ -1,6 +1,7 @@
 #ifndef FLEET_PUBLISHED_VIEW_H_
 #define FLEET_PUBLISHED_VIEW_H_
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -46,6 +47,9 @@
   }
   // Whether something differs from the last call.
   bool TakeChanged();
+  // Whether a change of a book came since the last call that is not the next
+  // one to the book held here: the whole book has to be asked for.
+  bool TakeMissesBook();
   // Values refused since the last call.
   std::vector<Error> TakeRefused();
 
@@ -58,12 +62,26 @@
 
   void Take(const PublishedItem& item, bool after_outage, TimePoint now);
   void TakeRoutes(const RouteBook& book, Revision revision);
+  void TakeRoutesChange(const RouteBookChange& change, Revision revision);
+  void RememberStep(const RouteBook& book, Revision revision);
+  void AddRoutesAfter(Revision after, PublishedItems& out) const;
   void TakeEndpoint(const PublishedEndpoint& endpoint, Revision revision);
   void Remember(const EndpointId& removed, Revision revision);
   void Miss(const EndpointId& id, bool after_outage, TimePoint now);
 
   std::shared_ptr<const RouteBook> routes_;
   Revision routes_revision_ = 0;
+  struct BookStep {
+    // Of the book that the step begins at, and of the one that it leads to.
+    Revision base = 0;
+    Revision revision = 0;
+    RouteBookChange change;
+  };
+
+  // The steps that led to the book, one after the other, for peers that hold
+  // an earlier one.
+  std::deque<BookStep> book_steps_;
+  bool misses_book_ = false;
   std::map<EndpointId, Entry> endpoints_;
   // Removed endpoints by the revision of their removal, so that an older read
   // does not bring them back.
--- a/tests/fleet/feed_world.h
+++ b/tests/fleet/feed_world.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_FLEET_FEED_WORLD_H_
 #define TESTS_FLEET_FEED_WORLD_H_
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -51,6 +52,16 @@
   // Changes at the store.
   void SetVersion(std::uint64_t version) {
     book_.version = version;
+    Route route;
+    route.host = "a.example";
+    route.prefix = "/" + std::to_string(version) + "/";
+    route.targets = {{ServiceId("s"), 1}};
+    book_.services = {{ServiceId("s"), "/health", 250}};
+    book_.routes.push_back(route);
+    if (book_.routes.size() > kMostRoutes) {
+      book_.routes.erase(book_.routes.begin());
+    }
+    books_[version] = book_;
     book_revision_ = ++revision_;
   }
   void AddEndpoint(const std::string& id) {
@@ -118,6 +129,21 @@
     }
     return overdue;
   }
+  // Whether a host has the routes of a published version, or none.
+  bool HasTrueBook(const Host& host) const {
+    const auto& routes = host.feed->view().routes();
+    if (!routes) {
+      return true;
+    }
+    const auto by_name = [](const Route& it) { return it.prefix; };
+    std::vector<Route> has = routes->routes;
+    std::vector<Route> wants = books_.at(routes->version).routes;
+    std::ranges::sort(has, {}, by_name);
+    std::ranges::sort(wants, {}, by_name);
+    return has == wants;
+  }
+  // Frames sent so far that hold a whole book.
+  std::uint64_t books_sent() const { return books_sent_; }
   std::uint64_t VersionOf(const Host& host) const {
     const auto& routes = host.feed->view().routes();
     return routes ? routes->version : 0;
@@ -255,17 +281,33 @@
   void Send(const std::string& from, Outbox& out) {
     for (Outbox::Item& it : out.Take()) {
       if (hosts_.at(from).links.contains(it.to.text())) {
+        CountBooks(it.message);
         frames_.push_back({from, it.to.text(), std::move(it.message)});
       }
     }
   }
 
+  void CountBooks(const PeerMessage& message) {
+    const auto* update = std::get_if<FeedUpdate>(&message);
+    if (update == nullptr) {
+      return;
+    }
+    for (const PublishedItem& it : update->changes.items) {
+      books_sent_ += std::holds_alternative<RouteBook>(it.value) ? 1 : 0;
+    }
+  }
+
+  // Enough that one route more is a small change.
+  static constexpr std::size_t kMostRoutes = 12;
+
   const int seeds_;
   const bool early_read_;
   TimePoint now_{std::chrono::hours(1)};
   std::map<std::string, Host> hosts_;
   std::deque<Frame> frames_;
   RouteBook book_;
+  std::map<std::uint64_t, RouteBook> books_;
+  std::uint64_t books_sent_ = 0;
   Revision book_revision_ = 0;
   std::map<std::string, std::pair<Revision, PublishedEndpoint>> endpoints_;
   std::map<std::string, std::pair<Revision, TimePoint>> removed_;
--- a/tests/fleet/test_published_feed.cc
+++ b/tests/fleet/test_published_feed.cc
@@ -147,6 +147,55 @@
   CHECK(world.hosts().at("h4").feed->view().Endpoints().empty());
 }
 
+// A book of many routes changes by one. Sent whole to each host it would take
+// longer than the hosts may wait for it, and they would all ask the store.
+TEST_CASE("a small change of a large book goes out as a change") {
+  FeedWorld world(10, 3);
+  for (std::uint64_t version = 2; version < 12; ++version) {
+    world.SetVersion(version);
+    world.Run(milliseconds(300));
+  }
+  world.Run(seconds(2));
+  const std::uint64_t before = world.books_sent();
+  world.SetVersion(12);
+  world.Run(seconds(1));
+  for (const auto& [name, host] : world.hosts()) {
+    CAPTURE(name);
+    CHECK(world.VersionOf(host) == 12);
+    CHECK(world.HasTrueBook(host));
+  }
+  CHECK(world.books_sent() == before);
+}
+
+// A feeder was frozen while two versions came and sends them as one step. Its
+// follower has the first of them from elsewhere: the step does not begin at its
+// book, and applied all the same it would bring back what that one removed.
+TEST_CASE("a step to another book is not taken, and the book is asked for") {
+  PublishedFeedOptions options;
+  options.self = HostId("h9");
+  options.address = {"10.0.0.9", 80};
+  options.seeds = {{"10.0.0.1", 80}};
+  PublishedFeed feed(options, 1);
+  const TimePoint now{std::chrono::hours(1)};
+  feed.Next(now);
+  RouteBook book;
+  book.version = 2;
+  feed.OnReadAll({{{20, book}}, 20}, now);
+  FeedUpdate update;
+  update.after = 20;
+  RouteBookChange change;
+  change.base_version = 1;
+  change.version = 3;
+  update.changes = {{{30, change}}, 30};
+  Outbox out;
+  feed.OnMessage(HostId("h1"), update, now, out);
+  CHECK(feed.view().routes()->version == 2);
+  CHECK(feed.view().revision() == 20);
+  const auto items = out.Take();
+  REQUIRE(items.size() == 1);
+  CHECK(std::get<FeedHello>(items[0].message).revision == 0);
+}
+
 // Whatever happens to hosts, links and the store's reachability, and in
 // whatever order: a host that has been well for three seconds knows every
 // removal that is two seconds old, and no host ever goes back to an older
@@ -210,6 +259,7 @@
           if (checked.is_up) {
             const std::uint64_t held = world.VersionOf(checked);
             RC_ASSERT(held >= checked.newest_version);
+            RC_ASSERT(world.HasTrueBook(checked));
             checked.newest_version = held;
           }
         }
@@ -244,8 +294,17 @@
   endpoint.spec.zone = ZoneId("z");
   endpoint.spec.state = ListedState::kLeaving;
   endpoint.cold_for = milliseconds(900);
-  update.changes = {
-      {{9, book}, {10, endpoint}, {11, RemovedEndpoint{EndpointId("g")}}}, 11};
+  RouteBookChange change;
+  change.base_version = 3;
+  change.version = 4;
+  change.changed = book.routes;
+  change.removed = {{"b.example", "/y/"}};
+  change.services = book.services;
+  update.changes = {{{9, book},
+                     {10, endpoint},
+                     {11, RemovedEndpoint{EndpointId("g")}},
+                     {12, change}},
+                    12};
   Try(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(message, DecodePeerMessage(EncodePeerMessage(update)));
@@ -254,8 +313,9 @@
         CHECK(read.whole);
         CHECK(read.after_outage);
         CHECK(read.age == update.age);
-        CHECK(read.changes.current == 11);
-        REQUIRE(read.changes.items.size() == 3);
+        CHECK(read.changes.current == 12);
+        REQUIRE(read.changes.items.size() == 4);
+        CHECK(std::get<RouteBookChange>(read.changes.items[3].value) == change);
         CHECK(std::get<RouteBook>(read.changes.items[0].value) == book);
         CHECK(std::get<PublishedEndpoint>(read.changes.items[1].value) ==
               endpoint);
