Probes are shared by the fleet's size, and unspent ones serve bad seconds

Cause: each host had 40 probes a second and 15 at once for each service, whatever the fleet's size.

Seeds now count the hosts that follow them and tell the fleet; a host's rate is its part of three quarters of the endpoint's limit (a setting, from the platform), and five seconds of it may be saved up. A host that starts has saved nothing.

--- a/core/token_bucket.h
+++ b/core/token_bucket.h
@@ -24,10 +24,12 @@
     return true;
   }
 
-  // Takes effect from now on.
-  void SetRate(double rate, TimePoint now) {
+  // Takes effect from now on; what was saved up beyond the new burst is lost.
+  void SetBounds(double rate, double burst, TimePoint now) {
     Refill(now);
     rate_ = rate;
+    burst_ = burst;
+    tokens_ = std::min(tokens_, burst_);
   }
 
   double rate() const { return rate_; }
@@ -42,7 +44,7 @@
   }
 
   double rate_;
-  const double burst_;
+  double burst_;
   double tokens_;
   TimePoint last_;
 };
--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -174,7 +174,29 @@
 }
 
 FeedHello PublishedFeed::Hello() const {
-  return {rank_, options_.address, view_.revision()};
+  return {rank_, options_.address, view_.revision(), CountFollowers()};
+}
+
+std::int64_t PublishedFeed::CountFollowers() const {
+  return std::ranges::count_if(peers_, [&](const auto& it) {
+    return Follows(it.second) && it.second.hello->rank == FeedHello::kNoSeed;
+  });
+}
+
+// Each host follows one seed as a rule, so the seeds' counts add up; while one
+// looks for another seed it is counted twice, which makes shares smaller.
+std::int64_t PublishedFeed::KnownHosts() const {
+  const bool is_head = reads_store_ && rank_ != FeedHello::kNoSeed;
+  if (!is_head) {
+    return told_hosts_;
+  }
+  std::int64_t hosts = 1 + CountFollowers();
+  for (const auto& [host, peer] : peers_) {
+    if (Follows(peer) && peer.hello->rank != FeedHello::kNoSeed) {
+      hosts += 1 + peer.hello->followers;
+    }
+  }
+  return hosts;
 }
 
 void PublishedFeed::OnLinkUp(const HostId& host,
@@ -226,13 +248,14 @@
     view_.TakeChanges(update.changes, update.after_outage, now);
   }
   if (view_.TakeMissesBook()) {
-    out.Send(host, FeedHello{rank_, options_.address, 0});
+    out.Send(host, FeedHello{rank_, options_.address, 0, CountFollowers()});
     return;
   }
   // One that knows less than this host confirms nothing.
   if (update.changes.current < view_.revision()) {
     return;
   }
+  told_hosts_ = update.hosts;
   const TimePoint confirmed = now - update.age;
   Confirm(confirmed);
   if (!fed_at_ || *fed_at_ < confirmed) {
@@ -249,6 +272,7 @@
   update.after = update.whole ? 0 : peer.sent;
   update.changes = view_.ChangesAfter(update.after);
   update.after_outage = IsAfterOutage(now);
+  update.hosts = KnownHosts();
   update.age = std::max<Duration>(now - *confirmed_at_, Duration::zero());
   peer.sent = view_.revision();
   peer.sent_confirmed = *confirmed_at_;
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -112,6 +112,9 @@
   bool reads_store() const { return reads_store_; }
   // How old the knowledge is; null before the first.
   std::optional<Duration> Age(TimePoint now) const;
+  // How many hosts the fleet has, this one included, as its feeder says or as
+  // it counts them itself; 0 where neither is known.
+  std::int64_t KnownHosts() const;
 
  private:
   struct Peer {
@@ -134,6 +137,8 @@
             TimePoint now,
             Outbox& out);
   FeedHello Hello() const;
+  // Hosts that follow this one and are no seeds.
+  std::int64_t CountFollowers() const;
   // From when on the missing feed is noticed.
   TimePoint UnfedSince(TimePoint now) const;
   // A link on which nothing is said counts as dead.
@@ -143,6 +148,8 @@
   const PublishedFeedOptions options_;
   Random random_;
   std::int64_t rank_ = FeedHello::kNoSeed;
+  // By the last update.
+  std::int64_t told_hosts_ = 0;
   PublishedView view_;
   std::map<HostId, Peer> peers_;
   FeedCounters counters_;
--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <cstdlib>
 #include <utility>
 
 #include "fleet/peer_codec.h"
@@ -14,6 +15,14 @@
 // does not hear of the first interruption.
 constexpr Duration kStopPoll = std::chrono::milliseconds(5);
 
+// Whether the owner should hear of another size of the fleet. It follows only
+// steps of an eighth: each one makes shares anew, and a fleet that starts grows
+// by a host at a time.
+bool IsNewSize(std::int64_t told, std::int64_t hosts) {
+  constexpr std::int64_t kStep = 8;
+  return hosts > 0 && std::abs(hosts - told) * kStep >= told;
+}
+
 std::vector<PeerAddress> ToPeers(const std::vector<SocketAddress>& seeds) {
   std::vector<PeerAddress> peers;
   peers.reserve(seeds.size());
@@ -143,7 +152,10 @@
   for (const Error& it : feed_.view().TakeRefused()) {
     spdlog::error("event=published-value-refused {}", ToString(it));
   }
-  const bool changed = feed_.view().TakeChanged();
+  const std::int64_t hosts = feed_.KnownHosts();
+  const bool has_new_size =
+      hosts != told_hosts_ && IsNewSize(told_hosts_, hosts);
+  const bool changed = feed_.view().TakeChanged() || has_new_size;
   std::unique_lock telling(telling_, std::defer_lock);
   if (changed) {
     // Taken before the other lock is let go, so that no older state is told
@@ -152,7 +164,10 @@
   }
   PublishedState state;
   if (changed) {
-    state = {feed_.view().routes(), feed_.view().Endpoints()};
+    if (has_new_size) {
+      told_hosts_ = hosts;
+    }
+    state = {feed_.view().routes(), feed_.view().Endpoints(), told_hosts_};
   }
   lock.unlock();
   if (changed) {
--- a/fleet/published_loop.h
+++ b/fleet/published_loop.h
@@ -18,6 +18,8 @@
 struct PublishedState {
   std::shared_ptr<const RouteBook> routes;
   std::vector<PublishedEndpoint> endpoints;
+  // Hosts that share the endpoints; 0 where it is not known.
+  std::int64_t hosts = 0;
 };
 
 // Hears of changes, on a thread of the loop or of the links; must not block
@@ -80,6 +82,8 @@
   PublishedFeed feed_;
   Outbox out_;
   std::vector<SocketAddress> seeds_;
+  // Hosts of the fleet as the owner was told last.
+  std::int64_t told_hosts_ = 0;
 };
 
 }  // namespace damasktack
--- a/fleet/published_messages.cc
+++ b/fleet/published_messages.cc
@@ -283,8 +283,10 @@
 }  // namespace
 
 Json FeedHello::ToJson() const {
-  return Json{
-      {"rank", rank}, {"address", ToString(address)}, {"revision", revision}};
+  return Json{{"rank", rank},
+              {"address", ToString(address)},
+              {"revision", revision},
+              {"followers", followers}};
 }
 
 leaf::result<FeedHello> FeedHello::Parse(const Json& json,
@@ -294,6 +296,7 @@
   reader.Read("rank", hello.rank, 0, kNoSeed);
   reader.Read("address", hello.address);
   reader.Read("revision", hello.revision);
+  reader.ReadOptional("followers", hello.followers, 0, kMostCount);
   BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
   return hello;
 }
@@ -310,6 +313,7 @@
               {"age_us", ToMicroseconds(age)},
               {"whole", whole},
               {"after_outage", after_outage},
+              {"hosts", hosts},
               {"items", std::move(items)}};
 }
 
@@ -322,6 +326,7 @@
   ReadTime(reader, "age_us", update.age);
   reader.ReadOptional("whole", update.whole);
   reader.ReadOptional("after_outage", update.after_outage);
+  reader.ReadOptional("hosts", update.hosts, 0, kMostCount);
   const Json* items = reader.Array("items");
   BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
   for (const Json& it : *items) {
--- a/fleet/published_messages.h
+++ b/fleet/published_messages.h
@@ -21,6 +21,8 @@
   SocketAddress address;
   // What the sender has already.
   Revision revision = 0;
+  // Hosts that are no seeds and that the sender feeds.
+  std::int64_t followers = 0;
 
   static constexpr std::int64_t kNoSeed = 1'000'000;
 
@@ -42,6 +44,8 @@
   bool whole = false;
   // Endpoints removed may only have lost their lease while the store was away.
   bool after_outage = false;
+  // Hosts of the fleet as far as the sender knows; 0 where it does not.
+  std::int64_t hosts = 0;
   // How long ago the store confirmed that `changes.current` is the newest.
   Duration age{};
 
--- a/main/settings.h
+++ b/main/settings.h
@@ -47,7 +47,7 @@
   Duration start_hold = std::chrono::milliseconds(1500);
   // Whether a host that starts reads any copy of the store at once.
   bool early_read = false;
-  // Hosts that share the endpoints, as long as nothing better is known.
+  // Hosts that share the endpoints, until a peer says how many there are.
   std::int64_t hosts = 16;
 };
 
--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -52,9 +52,9 @@
   visitor.Flag("measures_before_sending", options.measures_before_sending,
                "probe endpoints at the moment at which a call is placed; for "
                "services whose executions take tens of milliseconds and more");
-  visitor.Number("probe_rate", options.measured.probe_rate, 0, 10'000,
+  visitor.Number("probe_limit", options.measured.probe_limit, 0, 10'000,
                  "probes a second",
-                 "probes of one service by this host; with "
+                 "probes of one endpoint by all hosts together; with "
                  "measures_before_sending");
   visitor.Time("tick", options.tick, milliseconds(1), seconds(1),
                "how often deadlines of waiting calls are looked at");
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -145,7 +145,7 @@
   }
   state_.SetRouting(
       std::make_shared<RoutingTable>(state.routes, MakeServices(state)),
-      settings_.store.hosts, Clock::now());
+      state.hosts > 0 ? state.hosts : settings_.store.hosts, Clock::now());
   has_routes_ = true;
   LogChange(state);
 }
@@ -157,9 +157,9 @@
       });
   spdlog::info(
       "event=published-in-force version={} routes={} endpoints={} "
-      "leaving={}",
+      "leaving={} hosts={}",
       state.routes->version, state.routes->routes.size(),
-      state.endpoints.size(), leaving);
+      state.endpoints.size(), leaving, state.hosts);
 }
 
 void StoreDaemon::Stop() {
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -63,11 +63,12 @@
       random_(seed),
       queue_(options_.admission),
       retries_(options_.retries),
-      probe_budget_(options_.probe_rate, options_.probe_burst) {}
+      probe_budget_(0, options_.probe_burst) {}
 
 void MeasuredBalancer::SetService(const ServiceSpec& service,
-                                  std::int64_t /*hosts*/,
+                                  std::int64_t hosts,
                                   TimePoint now) {
+  ShareProbes(service.endpoints.size(), hosts, now);
   for (EndpointIndex n = 0; n < specs_.size(); ++n) {
     if (std::ranges::find(service.endpoints, specs_[n].id, &EndpointSpec::id) ==
         service.endpoints.end()) {
@@ -97,6 +98,17 @@
   ChooseFavoured();
 }
 
+void MeasuredBalancer::ShareProbes(std::size_t endpoints,
+                                   std::int64_t hosts,
+                                   TimePoint now) {
+  const double rate = options_.probe_limit * options_.probe_part *
+                      static_cast<double>(endpoints) /
+                      static_cast<double>(std::max<std::int64_t>(hosts, 1));
+  const std::chrono::duration<double> saving = options_.probe_saving;
+  probe_budget_.SetBounds(
+      rate, std::max(options_.probe_burst, rate * saving.count()), now);
+}
+
 void MeasuredBalancer::ChooseFavoured() {
   std::vector<std::pair<std::uint64_t, EndpointIndex>> near;
   for (EndpointIndex n = 0; n < specs_.size(); ++n) {
--- a/tests/fleet/test_published_feed.cc
+++ b/tests/fleet/test_published_feed.cc
@@ -41,6 +41,30 @@
   }
 }
 
+// Budgets of the fleet are shared by its size, which nobody publishes. Hosts
+// are lost and come back; the belief follows.
+TEST_CASE("every host learns how many hosts there are") {
+  FeedWorld world(30, 3);
+  const auto check = [&](std::int64_t hosts) {
+    for (const auto& [name, host] : world.hosts()) {
+      CAPTURE(name);
+      if (host.is_up) {
+        CHECK(host.feed->KnownHosts() == hosts);
+      }
+    }
+  };
+  world.Run(seconds(4));
+  check(30);
+  for (int n = 20; n < 30; ++n) {
+    world.Kill("h" + std::to_string(n));
+  }
+  world.Run(seconds(4));
+  check(20);
+  world.Kill("h0");
+  world.Run(seconds(6));
+  check(19);
+}
+
 // A caller's request goes to an endpoint that left seconds ago. The first seed
 // is replaced while the endpoint is removed without a word; the new process
 // reads a store in which the endpoint is not, and what it sends its followers
@@ -273,6 +297,7 @@
   update.after = 7;
   update.whole = true;
   update.after_outage = true;
+  update.hosts = 17;
   update.age = milliseconds(40);
   RouteBook book;
   book.version = 3;
@@ -312,6 +337,7 @@
         CHECK(read.after == 7);
         CHECK(read.whole);
         CHECK(read.after_outage);
+        CHECK(read.hosts == 17);
         CHECK(read.age == update.age);
         CHECK(read.changes.current == 12);
         REQUIRE(read.changes.items.size() == 4);
