A fault soak: real processes under random faults from outside

Daemons as separate processes with a store and endpoints of the test's own; a loopback proxy on each way (callers, store, endpoints, seeds) delays, resets, cuts one way or silences; hosts are killed (also many at once), stopped, paused, hung up and restarted; the store refuses and forgets; endpoints fill up, slow down, drain and pass their addresses on; versions come in quick succession. Faults overlap. Checked: own and whole answers, at most once, not-run is true, no older version in one life of a process, no denial of what is always published, the repeat budget, planned stops within the grace time, no process that ends by itself; then in a calm: new routes in 2 s, leaving endpoints left alone after 2 s, ready, nine in ten served.

Clocks and storage are left out: the daemon has no disk and decides by the steady clock.

--- a/standin/standin_store.cc
+++ b/standin/standin_store.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int kStatusGone = 410;
+// A watch, and a connection that is kept, hold a thread each.
+constexpr std::size_t kThreads = 64;
 constexpr auto kStartPoll = std::chrono::milliseconds(1);
 
 std::string Base64(const std::string& text) {
@@ -33,6 +35,7 @@
 
 StandinStore::StandinStore(std::size_t page)
     : page_(page), server_(std::make_unique<httplib::Server>()) {
+  server_->new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
   server_->Get("/v1/kv-range",
                [this](const httplib::Request& req, httplib::Response& res) {
                  Range(req, res);
--- /dev/null
+++ b/tests/soak/soak_endpoint.cc
@@ -0,0 +1,96 @@
+#include "tests/soak/soak_endpoint.h"
+
+#include <httplib.h>
+
+#include <random>
+
+namespace damasktack {
+
+namespace {
+
+constexpr auto kCall = "X-Damasktack-Request-Id";
+constexpr int kSlots = 6;
+// A connection holds a thread of the stand-in while it is kept.
+constexpr std::size_t kThreads = 64;
+constexpr int kShortestMs = 3;
+constexpr int kLongestMs = 30;
+
+}  // namespace
+
+SoakEndpoint::SoakEndpoint(std::string id,
+                           std::string service,
+                           SoakLedger& ledger)
+    : service_(std::move(service)),
+      ledger_(ledger),
+      id_(std::move(id)),
+      server_(std::make_unique<httplib::Server>()) {
+  server_->new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
+  server_->set_keep_alive_max_count(100'000);
+  server_->set_keep_alive_timeout(10);
+  server_->Get("/health",
+               [this](const httplib::Request&, httplib::Response& res) {
+                 res.set_header("X-Damasktack-Instance-Id", this->id());
+                 res.set_header("X-Damasktack-Server-Load", Load());
+               });
+  const auto serve = [this](const httplib::Request& req,
+                            httplib::Response& res) { Serve(req, res); };
+  server_->Get("/.*", serve);
+  server_->Post("/.*", serve);
+  port_ = static_cast<std::uint16_t>(server_->bind_to_any_port("127.0.0.1"));
+  thread_ = std::thread([this] { server_->listen_after_bind(); });
+  while (!server_->is_running()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
+SoakEndpoint::~SoakEndpoint() {
+  server_->stop();
+  thread_.join();
+}
+
+std::string SoakEndpoint::id() const {
+  const std::lock_guard lock(mutex_);
+  return id_;
+}
+
+void SoakEndpoint::BecomeNew(const std::string& id) {
+  const std::lock_guard lock(mutex_);
+  id_ = id;
+}
+
+std::string SoakEndpoint::Load() const {
+  return std::to_string(running_) + ",0," + std::to_string(kSlots) + "," +
+         std::to_string(100 * slowdown_);
+}
+
+void SoakEndpoint::Serve(const httplib::Request& req, httplib::Response& res) {
+  const std::string call = req.get_header_value(kCall);
+  res.set_header(kCall, call);
+  res.set_header("X-Damasktack-Server-Load", Load());
+  const auto refuse = [&](int status) {
+    res.status = status;
+    res.set_header("X-Damasktack-Not-Executed", "1");
+  };
+  if (req.get_header_value("X-Damasktack-Target-Instance") != id()) {
+    refuse(421);
+    return;
+  }
+  ledger_.Arrived(call);
+  if (is_forbidden_) {
+    ledger_.Violation(call + ": reached " + id() + " after it had left");
+  }
+  if (is_full_ || running_ >= kSlots) {
+    refuse(503);
+    return;
+  }
+  ++running_;
+  ledger_.Ran(call);
+  thread_local std::mt19937 random(std::random_device{}());
+  std::uniform_int_distribution<int> ms(kShortestMs, kLongestMs);
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(ms(random) * slowdown_));
+  --running_;
+  res.set_content("ran " + call + " at " + service_, "text/plain");
+}
+
+}  // namespace damasktack
--- /dev/null
+++ b/tests/soak/soak_fleet.cc
@@ -0,0 +1,265 @@
+#include "tests/soak/soak_fleet.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "core/json_reader.h"
+
+namespace damasktack {
+
+namespace {
+
+constexpr int kSeeds = 3;
+// As the platform does, with room for a busy machine.
+constexpr Duration kGrace = std::chrono::seconds(6);
+constexpr Duration kRestartDelay = std::chrono::milliseconds(300);
+constexpr auto kService = "s";
+
+std::string MakeFolder() {
+  std::string path =
+      (std::filesystem::temp_directory_path() / "damasktack-soak-XXXXXX")
+          .string();
+  return mkdtemp(path.data()) == nullptr ? "." : path;
+}
+
+std::string OwnLoopbackAddress() {
+  const int pid = getpid();
+  return "127." + std::to_string(1 + pid / 65536 % 200) + "." +
+         std::to_string(pid / 256 % 256) + "." + std::to_string(pid % 256);
+}
+
+std::string Local(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+Json Route(const std::string& prefix, const std::string& kind) {
+  return Json{{"resource_type", "routes"},
+              {"metadata", {{"name", prefix}}},
+              {"spec",
+               {{"host", "soak.example"},
+                {"prefix", prefix},
+                {"kind", kind},
+                {"timeout_ms", 1500},
+                {"target_latency_ms", 300},
+                {"max_attempts", 2},
+                {"service", kService}}}};
+}
+
+}  // namespace
+
+SoakFleet::SoakFleet(const SoakSize& size, SoakLedger& ledger)
+    : ledger_(ledger),
+      folder_(MakeFolder()),
+      ip_(OwnLoopbackAddress()),
+      hosts_(static_cast<std::size_t>(size.hosts)),
+      lives_(static_cast<std::size_t>(size.hosts)),
+      endpoints_(static_cast<std::size_t>(size.endpoints)) {
+  signal(SIGPIPE, SIG_IGN);
+  for (int n = 0; n < endpoints(); ++n) {
+    endpoints_[n].server = std::make_unique<SoakEndpoint>(
+        "e" + std::to_string(n) + "-0", kService, ledger_);
+    endpoints_[n].link =
+        proxies_.Add({"127.0.0.1", endpoints_[n].server->port()});
+    PutEndpoint(n, "ready");
+  }
+  PublishNextVersion();
+  for (Host& it : hosts_) {
+    it.callers = ports_.Take();
+    it.admin = ports_.Take();
+    it.peers = ports_.Take();
+    it.caller_link = proxies_.Add(At(it.callers));
+    it.store_link = proxies_.Add({"127.0.0.1", store_.port()});
+    it.peer_link = proxies_.Add(At(it.peers));
+  }
+  for (int n = 0; n < hosts(); ++n) {
+    StartHost(n);
+  }
+}
+
+SoakFleet::~SoakFleet() {
+  for (Host& it : hosts_) {
+    it.process.reset();
+  }
+  std::error_code ec;
+  if (ledger_.Violations().empty()) {
+    std::filesystem::remove_all(folder_, ec);
+  } else {
+    std::puts(("logs of the hosts are kept in " + folder_).c_str());
+  }
+}
+
+std::string SoakFleet::PathOf(int n, const std::string& suffix) const {
+  return folder_ + "/h" + std::to_string(n) + suffix;
+}
+
+std::string SoakFleet::SettingsOf(int n) const {
+  const Host& host = hosts_[n];
+  Json seeds = Json::array();
+  for (int seed = 0; seed < std::min(kSeeds, hosts()); ++seed) {
+    // A seed knows itself by its own address; others go through its proxy.
+    seeds.push_back(seed == n ? ToString(At(hosts_[seed].peers))
+                              : Local(hosts_[seed].peer_link));
+  }
+  const Json settings{{"host", "h" + std::to_string(n)},
+                      {"zone", "z" + std::to_string(n % 2)},
+                      {"proxy",
+                       {{"listen", ToString(At(host.callers))},
+                        {"threads", 1},
+                        {"connect_timeout", "250ms"},
+                        {"endpoint_idle", "8500ms"},
+                        {"measures_before_sending", true},
+                        {"retry_percent", 18},
+                        {"retry_burst", 1}}},
+                      {"admin",
+                       {{"listen", ToString(At(host.admin))},
+                        {"public_only", true},
+                        {"allow_remote", true},
+                        {"ready_path", "/v1/readiness"}}},
+                      {"store",
+                       {{"address", Local(host.store_link)},
+                        {"start_patience", "250ms"},
+                        {"early_read", true}}},
+                      {"fleet",
+                       {{"listen", ToString(At(host.peers))},
+                        {"key", "a-key-that-only-this-soak-uses"},
+                        {"seeds", seeds}}},
+                      {"stop", {{"lag", "1s"}, {"longest", "2s"}}}};
+  return settings.dump(2);
+}
+
+void SoakFleet::StartHost(int n) {
+  std::ofstream(PathOf(n, ".json")) << SettingsOf(n);
+  ++lives_[n];
+  Host& host = hosts_[n];
+  host.process = std::make_unique<ChildProcess>(
+      std::vector<std::string>{DAMASKTACK_BINARY, "--settings",
+                               PathOf(n, ".json")},
+      PathOf(n, ".log"));
+  host.is_paused = false;
+  host.terminated_at.reset();
+  host.is_undisturbed = true;
+  host.was_killed = false;
+  host.restart_at.reset();
+}
+
+void SoakFleet::PublishNextVersion() {
+  const int next = version_ + 1;
+  Json resources = Json::array();
+  resources.push_back(Route("/read/", "safe"));
+  resources.push_back(Route("/write/", "unsafe"));
+  resources.push_back(Route("/v" + std::to_string(next) + "/", "safe"));
+  resources.push_back({{"resource_type", "services"},
+                       {"metadata", {{"name", kService}}},
+                       {"spec", {{"health_path", "/health"}}}});
+  store_.Put("op/config",
+             Json{{"version", next}, {"resources", resources}}.dump());
+  version_ = next;
+}
+
+void SoakFleet::PutEndpoint(int n, const std::string& state) {
+  const Endpoint& it = endpoints_[n];
+  store_.Put("servers/" + it.server->id(),
+             Json{{"address", Local(it.link)},
+                  {"info",
+                   {{"service", it.server->service()},
+                    {"zone", "z" + std::to_string(n % 2)},
+                    {"slots", 6}}},
+                  {"status", {{"state", state}}}}
+                 .dump());
+}
+
+void SoakFleet::Drain(int endpoint) {
+  PutEndpoint(endpoint, "draining");
+}
+
+void SoakFleet::Remove(int endpoint) {
+  store_.Remove("servers/" + endpoints_[endpoint].server->id());
+}
+
+void SoakFleet::Renew(int endpoint) {
+  Endpoint& it = endpoints_[endpoint];
+  ++it.life;
+  it.server->BecomeNew("e" + std::to_string(endpoint) + "-" +
+                       std::to_string(it.life));
+  PutEndpoint(endpoint, "ready");
+}
+
+void SoakFleet::Kill(int host) {
+  hosts_[host].was_killed = true;
+  hosts_[host].process->Signal(SIGKILL);
+}
+
+void SoakFleet::Terminate(int host) {
+  Host& it = hosts_[host];
+  if (it.terminated_at || it.restart_at) {
+    return;
+  }
+  it.terminated_at = Clock::now();
+  it.is_undisturbed = !it.is_paused;
+  it.process->Signal(SIGTERM);
+}
+
+void SoakFleet::Pause(int host, bool paused) {
+  Host& it = hosts_[host];
+  it.is_paused = paused;
+  it.is_undisturbed = false;
+  it.process->Signal(paused ? SIGSTOP : SIGCONT);
+}
+
+void SoakFleet::HangUp(int host) {
+  hosts_[host].process->Signal(SIGHUP);
+}
+
+void SoakFleet::SetFault(Way way, int n, LinkFault fault, Duration delay) {
+  const std::uint16_t link = way == Way::kEndpoint  ? endpoints_[n].link
+                             : way == Way::kCallers ? hosts_[n].caller_link
+                             : way == Way::kStore   ? hosts_[n].store_link
+                                                    : hosts_[n].peer_link;
+  proxies_.SetFault(link, fault, delay);
+}
+
+void SoakFleet::CheckStop(int n, TimePoint now) {
+  Host& host = hosts_[n];
+  if (!host.terminated_at || now - *host.terminated_at < kGrace) {
+    return;
+  }
+  if (host.is_undisturbed) {
+    ledger_.Violation("h" + std::to_string(n) +
+                      ": still there at the end of the grace time");
+  }
+  Kill(n);
+}
+
+void SoakFleet::Tick(TimePoint now) {
+  for (int n = 0; n < hosts(); ++n) {
+    Host& host = hosts_[n];
+    if (host.restart_at) {
+      if (now >= *host.restart_at) {
+        StartHost(n);
+      }
+      continue;
+    }
+    if (!host.process->HasEnded()) {
+      CheckStop(n, now);
+      continue;
+    }
+    const int code = host.process->Wait();
+    const bool was_asked = host.was_killed || host.terminated_at;
+    if (!was_asked || (!host.was_killed && code != 0)) {
+      ledger_.Violation("h" + std::to_string(n) + ": ended by itself with " +
+                        std::to_string(code));
+    }
+    host.restart_at = now + kRestartDelay;
+  }
+}
+
+bool SoakFleet::AllRun() const {
+  return std::ranges::none_of(hosts_, [](const Host& it) {
+    return it.restart_at || it.terminated_at || it.was_killed;
+  });
+}
+
+}  // namespace damasktack
--- a/tests/system/child_process.cc
+++ b/tests/system/child_process.cc
@@ -50,9 +50,21 @@
   }
   int status = 0;
   waitpid(pid_, &status, 0);
+  NoteEnd(status);
+  return exit_code_;
+}
+
+bool ChildProcess::HasEnded() {
+  int status = 0;
+  if (pid_ != 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
+    NoteEnd(status);
+  }
+  return pid_ == 0;
+}
+
+void ChildProcess::NoteEnd(int status) {
   pid_ = 0;
   exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
-  return exit_code_;
 }
 
 }  // namespace damasktack
--- a/tests/system/child_process.h
+++ b/tests/system/child_process.h
@@ -18,11 +18,15 @@
   ChildProcess& operator=(const ChildProcess&) = delete;
 
   void Signal(int signal_number);
+  // Whether it has ended; does not wait.
+  bool HasEnded();
   // Waits for the end. The exit code, or minus the signal that ended it.
   int Wait();
   pid_t pid() const { return pid_; }
 
  private:
+  void NoteEnd(int status);
+
   pid_t pid_ = 0;
   int exit_code_ = 0;
 };
