Connections to endpoints that a path has lost are ended by the kernel

Nothing ended such a connection before endpoint_idle (8.5 s). Short keep-alive and a bound on unacknowledged bytes do now, as they did for the store already; both use one function. In the soak the proxy's kernel acknowledges for a lost path, so the proxy ends the connection when the ends' kernels would.

Test: tests/core (the kernel's settings; no packet can be lost on a loopback).

--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/tcp_liveness.h"
 #include "proxy/endpoint_report_codec.h"
 
 namespace damasktack {
@@ -19,6 +20,11 @@
 // Answers to other calls that are passed over before the connection is given
 // up.
 constexpr int kMostStrays = 4;
+// Bytes that an endpoint's kernel has not acknowledged for so long show that
+// the path has lost the connection; three retransmissions lie within it. Calls
+// went out on connections that had been lost while they idled, and their
+// callers waited for their whole time.
+constexpr std::chrono::milliseconds kUnacknowledged(1000);
 // A request up to this size fits into the kernel's buffers, so that writing it
 // never waits for the endpoint.
 constexpr std::size_t kOneWrite = 16U << 10U;
@@ -107,6 +113,7 @@
     co_return false;
   }
   socket_.set_option(Tcp::no_delay(true), ec);
+  EndLostConnection(socket_.native_handle(), kUnacknowledged);
   co_return true;
 }
 
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -20,7 +20,7 @@
   // Open connections are reset, and new ones as soon as they are made.
   kReset,
   // Bytes of one direction are held; after the fault half of the connections
-  // go on, the others stay silent for good, as when a path has lost them.
+  // go on, the others were lost and stay silent until the ends notice.
   kCutToServer,
   kCutToClient,
   kSilent,
