A call's line says what its decision rested on; explain reads hosts' logs

call-ended lines bear the expected time and the age of the report that the last placement or refusal rested on; ejections and what follows them, and links to peers that come and go, have lines of their own. damasktackctl explain CALL FILE... tells from the logs of several hosts how a call ended on each, why, and what the host had come to believe before. Tests: tests/main/test_call_explainer.cc.

--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -191,14 +191,16 @@
 }
 
 void PublishedLoop::OnLinkUp(const std::string& host,
-                             std::uint64_t /*incarnation*/) {
+                             std::uint64_t incarnation) {
+  spdlog::info("event=peer-linked peer={} incarnation={}", host, incarnation);
   std::unique_lock lock(mutex_);
   feed_.OnLinkUp(HostId(host), Clock::now(), out_);
   Settle(lock);
 }
 
 void PublishedLoop::OnLinkDown(const std::string& host,
-                               std::uint64_t /*incarnation*/) {
+                               std::uint64_t incarnation) {
+  spdlog::info("event=peer-lost peer={} incarnation={}", host, incarnation);
   const std::lock_guard lock(mutex_);
   feed_.OnLinkDown(HostId(host), Clock::now());
 }
--- /dev/null
+++ b/main/call_explainer.cc
@@ -0,0 +1,160 @@
+#include "main/call_explainer.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace damasktack {
+
+namespace {
+
+constexpr std::string_view kEvent = "event=";
+// Lines of belief shown for each host: what was last said before the call.
+constexpr std::size_t kMostBeliefs = 8;
+
+struct Meaning {
+  std::string_view failure;
+  std::string_view text;
+};
+
+// The kinds of failure that need more than their name.
+constexpr std::array kMeanings = {
+    Meaning{"shed",
+            "no endpoint could have served it on time, or one refused it and "
+            "the budget for repeats was spent; it did not run"},
+    Meaning{"no-endpoint", "no endpoint of the service was usable"},
+    Meaning{"no-route", "the routes in force have none for host and path"},
+    Meaning{"not-current", "the host had just started and knew no routes yet"},
+    Meaning{"deadline", "its time was up before it could be sent"},
+    Meaning{"timed-out",
+            "it was sent and its time was up without an answer; it may have "
+            "run"},
+    Meaning{"broken",
+            "the endpoint's connection broke after the call was sent; it may "
+            "have run"},
+    Meaning{"cancelled", "its caller left"},
+    Meaning{"not-connected",
+            "the endpoint could not be reached; it did not "
+            "run"},
+    Meaning{"queue-full", "too many calls were waiting on the host"},
+    Meaning{"stopping", "the host was about to stop"},
+};
+
+std::string_view MeaningOf(std::string_view failure) {
+  const auto it = std::ranges::find(kMeanings, failure, &Meaning::failure);
+  return it == kMeanings.end() ? std::string_view() : it->text;
+}
+
+std::string Timing(const LogLine& line) {
+  std::string text = line.Value("total_ms") + " ms in all, " +
+                     line.Value("at_endpoints_ms") + " ms at endpoints";
+  const std::string age = line.Value("report_age_ms");
+  const bool has_basis = !age.empty() && age != "-1";
+  if (has_basis) {
+    text += "; expected " + line.Value("expected_ms") +
+            " ms by a report that was " + age + " ms old";
+  }
+  return text;
+}
+
+std::string Explain(const LogLine& line) {
+  const std::string failure = line.Value("failure");
+  const std::string endpoint = line.Value("endpoint");
+  std::string text = "on " + line.host + ": ";
+  if (failure.empty()) {
+    text += "the endpoint's own answer " + line.Value("status");
+  } else {
+    text += failure;
+    const std::string_view meaning = MeaningOf(failure);
+    if (!meaning.empty()) {
+      text += ": " + std::string(meaning);
+    }
+  }
+  text += " (" + Timing(line) + ")";
+  if (!endpoint.empty()) {
+    text += "; sent " + line.Value("sends") + " times, last to " + endpoint;
+  }
+  if (line.Value("left_ms").starts_with('-')) {
+    text += "; later than its objective";
+  }
+  return text;
+}
+
+// Beliefs that bear on a call: those of its endpoint, and all that are not
+// about single endpoints.
+bool BearsOn(const LogLine& belief, const std::set<std::string>& endpoints) {
+  return belief.event != "endpoint-state" ||
+         endpoints.contains(belief.Value("endpoint"));
+}
+
+}  // namespace
+
+std::string LogLine::Value(const std::string& key) const {
+  const std::string mark = " " + key + "=";
+  const std::size_t at = text.find(mark);
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::size_t begin = at + mark.size();
+  return text.substr(begin, text.find(' ', begin) - begin);
+}
+
+std::vector<LogLine> ReadLog(std::istream& in, const std::string& name) {
+  std::vector<LogLine> lines;
+  std::string host = name;
+  for (std::string text; std::getline(in, text);) {
+    const std::size_t event = text.find(kEvent);
+    const std::size_t time = text.find('[');
+    if (event == std::string::npos || time == std::string::npos) {
+      continue;
+    }
+    LogLine line;
+    line.time = text.substr(time + 1, text.find(']', time) - time - 1);
+    line.text = text.substr(event);
+    line.event =
+        line.text.substr(kEvent.size(), line.text.find(' ') - kEvent.size());
+    const std::string named = line.Value("host");
+    if (!named.empty()) {
+      host = named;
+    }
+    line.host = host;
+    lines.push_back(std::move(line));
+  }
+  return lines;
+}
+
+CallExplanation ExplainCall(const std::string& call,
+                            std::vector<LogLine> lines) {
+  std::ranges::stable_sort(lines, {}, &LogLine::time);
+  CallExplanation explanation;
+  std::set<std::string> endpoints;
+  std::map<std::string, std::string> last_on;
+  for (const LogLine& it : lines) {
+    if (it.event == "call-ended" && it.Value("call") == call) {
+      explanation.calls.push_back(it);
+      explanation.meanings.push_back(Explain(it));
+      endpoints.insert(it.Value("endpoint"));
+      last_on[it.host] = it.time;
+    }
+  }
+  std::map<std::string, std::vector<LogLine>> beliefs;
+  for (const LogLine& it : lines) {
+    const auto last = last_on.find(it.host);
+    if (it.event != "call-ended" && last != last_on.end() &&
+        it.time <= last->second && BearsOn(it, endpoints)) {
+      beliefs[it.host].push_back(it);
+    }
+  }
+  for (auto& [host, list] : beliefs) {
+    const std::size_t from = list.size() - std::min(list.size(), kMostBeliefs);
+    explanation.beliefs.insert(explanation.beliefs.end(),
+                               list.begin() + static_cast<std::ptrdiff_t>(from),
+                               list.end());
+  }
+  return explanation;
+}
+
+}  // namespace damasktack
--- a/main/ctl_commands.cc
+++ b/main/ctl_commands.cc
@@ -5,6 +5,7 @@
 #include "main/compare_command.h"
 #include "main/contract_command.h"
 #include "main/drain_command.h"
+#include "main/explain_command.h"
 #include "main/help_command.h"
 #include "main/histogram_command.h"
 #include "main/inspect_command.h"
@@ -26,8 +27,8 @@
     kPeersCommand,         kProbesCommand,
     kHistogramCommand,     kCompareCommand,
     kDrainCommand,         kGoneCommand,
-    kLoadCommand,          kCompletionCommand,
-    kHelpCommand,
+    kExplainCommand,       kLoadCommand,
+    kCompletionCommand,    kHelpCommand,
 };
 
 std::size_t WordCount(std::string_view words) {
--- /dev/null
+++ b/main/explain_command.cc
@@ -0,0 +1,91 @@
+#include "main/explain_command.h"
+
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+#include "main/call_explainer.h"
+
+namespace damasktack {
+
+namespace {
+
+leaf::result<std::vector<LogLine>> ReadLogs(
+    const std::vector<std::string>& paths) {
+  std::vector<LogLine> lines;
+  for (const std::string& path : paths) {
+    std::ifstream in(path);
+    if (!in) {
+      return Fail(ErrorKind::kFileUnreadable, path,
+                  "a file that cannot be opened", "name a host's log");
+    }
+    for (LogLine& it :
+         ReadLog(in, std::filesystem::path(path).stem().string())) {
+      lines.push_back(std::move(it));
+    }
+  }
+  return lines;
+}
+
+Json ToJson(const std::vector<LogLine>& lines) {
+  Json list = Json::array();
+  for (const LogLine& it : lines) {
+    list.push_back({{"time", it.time}, {"host", it.host}, {"text", it.text}});
+  }
+  return list;
+}
+
+void Print(const std::vector<LogLine>& lines, std::ostream& out) {
+  for (const LogLine& it : lines) {
+    out << "  " << it.time << " " << it.host << " " << it.text << "\n";
+  }
+}
+
+leaf::result<CtlExit> RunExplain(const CtlInvocation& invocation) {
+  const std::string& call = invocation.arguments.front();
+  BOOST_LEAF_AUTO(lines, ReadLogs({invocation.arguments.begin() + 1,
+                                   invocation.arguments.end()}));
+  const CallExplanation found = ExplainCall(call, std::move(lines));
+  if (invocation.json) {
+    invocation.out << Json{{"call", call},
+                           {"meanings", found.meanings},
+                           {"lines", ToJson(found.calls)},
+                           {"beliefs", ToJson(found.beliefs)}}
+                          .dump(2)
+                   << "\n";
+  } else if (found.calls.empty()) {
+    invocation.out << "No line on " << call
+                   << ": it simply succeeded, it reached none of these hosts, "
+                      "or its line was left out in a burst (left_out in later "
+                      "lines).\n";
+  } else {
+    for (const std::string& it : found.meanings) {
+      invocation.out << call << " " << it << "\n";
+    }
+    invocation.out << "\nIts lines:\n";
+    Print(found.calls, invocation.out);
+    invocation.out << "\nWhat its hosts had come to believe before:\n";
+    Print(found.beliefs, invocation.out);
+  }
+  return found.calls.empty() ? CtlExit::kFault : CtlExit::kDone;
+}
+
+}  // namespace
+
+constinit const CtlCommand kExplainCommand{
+    .words = "explain",
+    .arguments = "CALL FILE...",
+    .summary = "tell from hosts' logs what became of a call, and why",
+    .description =
+        "Reads the logs of one or several hosts and prints, in order of time, "
+        "how the call with this id ended on each of them, what the decision "
+        "rested on, and what the host had come to believe before it: routes in "
+        "force, ejections of its endpoint, the store lost or regained, peers, "
+        "starts and stops.",
+    .fewest_arguments = 2,
+    .most_arguments = kAnyNumber,
+    .hosts = CtlHosts::kNone,
+    .add_options = nullptr,
+    .run = RunExplain};
+
+}  // namespace damasktack
--- a/policy/balancer.h
+++ b/policy/balancer.h
@@ -4,6 +4,8 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "contract/service.h"
 #include "core/time.h"
@@ -88,6 +90,9 @@
                            TimePoint now,
                            Decisions& out) = 0;
 
+  // Ejections and what followed them, since the last call.
+  virtual std::vector<EndpointChange> TakeChanges() { return {}; }
+
   virtual const EndpointSpec& endpoint(EndpointIndex index) const = 0;
   virtual std::size_t waiting() const = 0;
   virtual BalancerStatus Status(TimePoint now) const = 0;
--- a/policy/call_offer.h
+++ b/policy/call_offer.h
@@ -42,10 +42,22 @@
   std::optional<EndpointIndex> avoid;
 };
 
+// What a decision on a call rested on, for its line in the log.
+struct DecisionBasis {
+  // How long the call was expected to take at the best endpoint; zero where
+  // nothing was estimated.
+  Duration expected{};
+  // How old the report was that said so; negative without any.
+  Duration report_age{-1};
+
+  bool operator==(const DecisionBasis&) const = default;
+};
+
 // The order to send a waiting call to an endpoint now.
 struct Dispatch {
   CallToken token = 0;
   EndpointIndex endpoint = 0;
+  DecisionBasis basis{};
 
   bool operator==(const Dispatch&) const = default;
 };
@@ -56,6 +68,7 @@
   Refusal refusal = Refusal::kNone;
   // When a new try has a chance; zero where only what is usual is known.
   Duration retry_after{};
+  DecisionBasis basis{};
 
   bool operator==(const Rejection&) const = default;
 };
--- a/policy/endpoint_roster.cc
+++ b/policy/endpoint_roster.cc
@@ -225,6 +225,12 @@
   if (!next) {
     return false;
   }
+  const auto is_out = [](EndpointState it) {
+    return it == EndpointState::kEjected || it == EndpointState::kTrial;
+  };
+  if (is_out(record.state) || is_out(*next)) {
+    changes_.push_back({index, record.state, *next, reason});
+  }
   record.state = *next;
   record.state_since = now;
   record.reason = reason;
@@ -240,6 +246,16 @@
   return true;
 }
 
+std::vector<EndpointChange> EndpointRoster::TakeChanges(
+    const std::vector<EndpointSpec>& specs) {
+  std::vector<EndpointChange> taken;
+  for (const Change& it : std::exchange(changes_, {})) {
+    taken.push_back({specs[it.index].id, std::string(ChartName(it.from)),
+                     std::string(ChartName(it.to)), std::string(it.reason)});
+  }
+  return taken;
+}
+
 void EndpointRoster::Recount() {
   usable_.clear();
   usable_slots_ = 0;
--- a/policy/endpoint_roster.h
+++ b/policy/endpoint_roster.h
@@ -8,6 +8,7 @@
 #include "contract/service.h"
 #include "policy/call.h"
 #include "policy/endpoint_record.h"
+#include "policy/endpoint_status.h"
 
 namespace damasktack {
 
@@ -41,6 +42,11 @@
   // After a record's slots have changed.
   void Recount();
 
+  // Steps of endpoints out of the service for failing, and back into it, since
+  // the last call. `specs` names the endpoints by index.
+  std::vector<EndpointChange> TakeChanges(
+      const std::vector<EndpointSpec>& specs);
+
  private:
   // Whether the chart has an arrow for the event.
   bool Follow(EndpointIndex index,
@@ -66,6 +72,13 @@
   // The next time at which a state changes by itself.
   TimePoint next_change_ = TimePoint::max();
   TimePoint next_refresh_;
+  struct Change {
+    EndpointIndex index = 0;
+    EndpointState from = EndpointState::kServing;
+    EndpointState to = EndpointState::kServing;
+    std::string_view reason;
+  };
+  std::vector<Change> changes_;
 };
 
 }  // namespace damasktack
--- a/policy/endpoint_status.h
+++ b/policy/endpoint_status.h
@@ -24,6 +24,14 @@
   Duration report_age{-1};
 };
 
+// An endpoint was taken out for failing, or let back.
+struct EndpointChange {
+  EndpointId endpoint;
+  std::string from;
+  std::string to;
+  std::string reason;
+};
+
 struct EndpointTableStatus {
   std::vector<EndpointStatus> endpoints;
   std::uint64_t probes_sent = 0;
--- a/policy/endpoint_table.h
+++ b/policy/endpoint_table.h
@@ -83,6 +83,9 @@
 
   const EndpointSpec& endpoint(EndpointIndex index) const;
   EndpointTableStatus Status(TimePoint now) const;
+  std::vector<EndpointChange> TakeChanges() {
+    return roster_.TakeChanges(specs_);
+  }
 
  private:
   std::optional<EndpointIndex> Find(const EndpointSpec& spec) const;
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -328,15 +328,15 @@
     const std::optional<Candidate> best = Best(head, now);
     const Step step = Decide(head, best, now);
     if (step == Step::kSend) {
-      Send(queue_.Take(urgency), best->index, now, out);
+      Send(queue_.Take(urgency), *best, now, out);
       return true;
     }
     if (step == Step::kRefuse) {
       const CallOffer offer = head.offer;
       queue_.Remove(offer.token);
-      out.rejections.push_back({offer.token,
-                                best ? Refusal::kShed : Refusal::kNoEndpoint,
-                                RetryAfter(offer, best, now)});
+      out.rejections.push_back(
+          {offer.token, best ? Refusal::kShed : Refusal::kNoEndpoint,
+           RetryAfter(offer, best, now), BasisOf(best, now)});
       return true;
     }
   }
@@ -354,16 +354,28 @@
   return std::min(wait, kLongestRetryAfter) + Scaled(kSpreadRetryAfter, spread);
 }
 
+DecisionBasis MeasuredBalancer::BasisOf(const std::optional<Candidate>& best,
+                                        TimePoint now) const {
+  if (!best) {
+    return {};
+  }
+  return {best->finish, measures_[best->index].ReportAge(now)};
+}
+
 void MeasuredBalancer::Send(const WaitingCall& call,
-                            EndpointIndex endpoint,
+                            const Candidate& best,
                             TimePoint now,
                             Decisions& out) {
-  roster_.record(endpoint).estimate.OnSend();
-  measures_[endpoint].OnSend();
+  out.dispatches.push_back({call.offer.token, best.index, BasisOf(best, now)});
+  roster_.record(best.index).estimate.OnSend();
+  measures_[best.index].OnSend();
   if (!call.avoid) {
     retries_.OnFirstSend(call.offer.customer, call.offer.retry_percent, now);
   }
-  out.dispatches.push_back({call.offer.token, endpoint});
+}
+
+std::vector<EndpointChange> MeasuredBalancer::TakeChanges() {
+  return roster_.TakeChanges(specs_);
 }
 
 AfterSend MeasuredBalancer::Finish(const CallOffer& offer,
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -106,6 +106,7 @@
   void ProbeFailed(EndpointIndex endpoint,
                    TimePoint now,
                    Decisions& out) override;
+  std::vector<EndpointChange> TakeChanges() override;
 
   const EndpointSpec& endpoint(EndpointIndex index) const override {
     return specs_[index];
@@ -145,9 +146,11 @@
   void Pump(TimePoint now, Decisions& out);
   bool PumpOne(TimePoint now, Decisions& out);
   void Send(const WaitingCall& call,
-            EndpointIndex endpoint,
+            const Candidate& best,
             TimePoint now,
             Decisions& out);
+  DecisionBasis BasisOf(const std::optional<Candidate>& best,
+                        TimePoint now) const;
   Duration RetryAfter(const CallOffer& offer,
                       const std::optional<Candidate>& best,
                       TimePoint now);
--- a/policy/service_balancer.h
+++ b/policy/service_balancer.h
@@ -65,6 +65,9 @@
                    Decisions& out) override;
 
   const EndpointSpec& endpoint(EndpointIndex index) const override;
+  std::vector<EndpointChange> TakeChanges() override {
+    return table_.TakeChanges();
+  }
   std::size_t waiting() const override;
   BalancerStatus Status(TimePoint now) const override;
 
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -210,6 +210,7 @@
   }
   Placement placement = std::move(*placement_);
   placement_.reset();
+  basis_ = placement.basis;
   co_return placement;
 }
 
@@ -537,6 +538,7 @@
   record.at_endpoints = at_endpoints_;
   const bool has_objective = offer_.on_time_until != TimePoint();
   record.left = has_objective ? offer_.on_time_until - now : Duration::zero();
+  record.basis = basis_;
   record.routes_version =
       routing_->has_routes() ? routing_->book()->version : 0;
   state_.call_log().Write(record, now);
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -65,6 +65,8 @@
   // The caller's own name of the call, where callers name their calls.
   CallId call_id_;
   std::optional<Placement> placement_;
+  // Of the last placement or refusal.
+  DecisionBasis basis_;
   std::shared_ptr<ClaimEnd> claim_end_;
   std::shared_ptr<ClaimHold> claim_;
   std::shared_ptr<EndpointExchange> exchange_;
--- a/proxy/call_log.cc
+++ b/proxy/call_log.cc
@@ -36,12 +36,12 @@
   spdlog::info(
       "event=call-ended call={} customer={} service={} outcome={} status={} "
       "failure={} endpoint={} sends={} total_ms={} at_endpoints_ms={} "
-      "left_ms={} version={} left_out={}",
+      "left_ms={} expected_ms={} report_age_ms={} version={} left_out={}",
       record.call.text(), record.customer.text(), record.service.text(),
       ToString(record.outcome), record.status, record.failure,
       record.endpoint.text(), record.sends, ToMs(record.total),
-      ToMs(record.at_endpoints), ToMs(record.left), record.routes_version,
-      left_out);
+      ToMs(record.at_endpoints), ToMs(record.left), ToMs(record.basis.expected),
+      ToMs(record.basis.report_age), record.routes_version, left_out);
 }
 
 std::uint64_t CallLog::dropped() const {
--- a/proxy/call_log.h
+++ b/proxy/call_log.h
@@ -9,6 +9,7 @@
 #include "core/time.h"
 #include "core/token_bucket.h"
 #include "policy/call.h"
+#include "policy/call_offer.h"
 
 namespace damasktack {
 
@@ -30,6 +31,8 @@
   Duration at_endpoints{};
   // What remained of its time at the end; negative where it came too late.
   Duration left{};
+  // What the last placement or refusal rested on.
+  DecisionBasis basis;
   // The version of the routes that it went by; 0 without routes.
   std::uint64_t routes_version = 0;
 };
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -1,5 +1,7 @@
 #include "proxy/service_dispatcher.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -172,6 +174,7 @@
 
 std::vector<ServiceDispatcher::Placed> ServiceDispatcher::Resolve(
     const Decisions& decisions) {
+  LogChanges();
   std::vector<Placed> placed;
   const auto take = [&](CallToken token, Placement placement) {
     const auto it = waiting_.find(token);
@@ -183,14 +186,24 @@
   };
   for (const Dispatch& it : decisions.dispatches) {
     take(it.token,
-         Placement{Refusal::kNone, it.endpoint, TargetOf(it.endpoint), {}});
+         Placement{
+             Refusal::kNone, it.endpoint, TargetOf(it.endpoint), {}, it.basis});
   }
   for (const Rejection& it : decisions.rejections) {
-    take(it.token, Placement{it.refusal, 0, {}, it.retry_after});
+    take(it.token, Placement{it.refusal, 0, {}, it.retry_after, it.basis});
   }
   return placed;
 }
 
+// At most a third of a service's endpoints is out at once and each stays out
+// for a second at least, which bounds the lines.
+void ServiceDispatcher::LogChanges() {
+  for (const EndpointChange& it : balancer_->TakeChanges()) {
+    spdlog::info("event=endpoint-state endpoint={} from={} to={} reason=\"{}\"",
+                 it.endpoint.text(), it.from, it.to, it.reason);
+  }
+}
+
 void ServiceDispatcher::Tell(std::vector<Placed>& placed, bool waiting) {
   for (Placed& it : placed) {
     it.on_placed(it.placement);
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -22,6 +22,7 @@
   EndpointTarget target;
   // Of a refusal; zero where only what is usual for it is known.
   Duration retry_after{};
+  DecisionBasis basis{};
 };
 
 struct ProbeOrder {
@@ -100,6 +101,8 @@
   // Turns decisions into placements; the caller holds the lock.
   std::vector<Placed> Resolve(const Decisions& decisions);
   void Tell(std::vector<Placed>& placed, bool waiting);
+  // The caller holds the lock.
+  void LogChanges();
   void NoteDrain(EndpointIndex endpoint, const EndpointReport& report);
   EndpointTarget TargetOf(EndpointIndex endpoint) const;
 
--- /dev/null
+++ b/tests/main/test_call_explainer.cc
@@ -0,0 +1,70 @@
+#include "main/call_explainer.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+namespace damasktack {
+namespace {
+
+constexpr auto kFirstHost =
+    "[2026-12-02 10:00:00.100] [damasktack] [info] event=started host=h1 "
+    "zone=z1 callers=8080\n"
+    "a line of something else\n"
+    "[2026-12-02 10:00:01.000] [damasktack] [warning] event=store-lost "
+    "revision=7 unreachable\n"
+    "[2026-12-02 10:00:02.000] [damasktack] [info] event=endpoint-state "
+    "endpoint=e1 from=serving to=ejected reason=\"errors\"\n"
+    "[2026-12-02 10:00:02.100] [damasktack] [info] event=endpoint-state "
+    "endpoint=e9 from=serving to=ejected reason=\"errors\"\n"
+    "[2026-12-02 10:00:02.500] [damasktack] [info] event=call-ended call=c-1 "
+    "customer=r service=s outcome=not-run status=0 failure=shed endpoint=e1 "
+    "sends=1 total_ms=2 at_endpoints_ms=1 left_ms=398 expected_ms=160 "
+    "report_age_ms=12 version=3 left_out=0\n"
+    "[2026-12-02 10:00:03.000] [damasktack] [info] event=store-regained "
+    "revision=9\n";
+
+constexpr auto kSecondHost =
+    "[2026-12-02 10:00:02.600] [damasktack] [info] event=call-ended call=c-1 "
+    "customer=r service=s outcome=complete status=200 failure= endpoint=e2 "
+    "sends=1 total_ms=700 at_endpoints_ms=690 left_ms=-300 expected_ms=160 "
+    "report_age_ms=-1 version=3 left_out=0\n";
+
+std::vector<LogLine> BothLogs() {
+  std::istringstream second(kSecondHost);
+  std::istringstream first(kFirstHost);
+  std::vector<LogLine> lines = ReadLog(second, "h2");
+  for (const LogLine& it : ReadLog(first, "first")) {
+    lines.push_back(it);
+  }
+  return lines;
+}
+
+TEST_CASE("a call is told in order over the hosts that had it") {
+  const CallExplanation found = ExplainCall("c-1", BothLogs());
+  REQUIRE(found.meanings.size() == 2);
+  CHECK(found.meanings[0] ==
+        "on h1: shed: no endpoint could have served it on time, or one refused "
+        "it and the budget for repeats was spent; it did not run (2 ms in all, "
+        "1 ms at endpoints; expected 160 ms by a report that was 12 ms old); "
+        "sent 1 times, last to e1");
+  CHECK(found.meanings[1] ==
+        "on h2: the endpoint's own answer 200 (700 ms in all, 690 ms at "
+        "endpoints); sent 1 times, last to e2; later than its objective");
+}
+
+TEST_CASE("beliefs are those from before the call that bear on it") {
+  const CallExplanation found = ExplainCall("c-1", BothLogs());
+  std::string events;
+  for (const LogLine& it : found.beliefs) {
+    events += it.event + " " + it.Value("endpoint") + ";";
+  }
+  CHECK(events == "started ;store-lost ;endpoint-state e1;");
+}
+
+TEST_CASE("a call without a line is said to have none") {
+  CHECK(ExplainCall("c-2", BothLogs()).calls.empty());
+}
+
+}  // namespace
+}  // namespace damasktack
