A stop does not wait for an output that nobody reads

Cause, found by a test written for it: the thread that writes lines was stuck in a write to a full pipe, and the process waited for it at its end for ever; the platform would have killed it at the end of the grace time. Calls were never delayed. The process now gives its last lines 300 ms. Test: tests/system, a host whose output nobody reads serves calls and stops (red before: still waiting after a minute).

--- a/main/damasktack_main.cc
+++ b/main/damasktack_main.cc
@@ -6,8 +6,11 @@
 #include <spdlog/spdlog.h>
 
 #include <boost/program_options.hpp>
+#include <chrono>
+#include <cstdlib>
 #include <iostream>
 #include <string>
+#include <thread>
 
 #include "core/host_state.h"
 #include "main/daemon.h"
@@ -94,10 +97,22 @@
       spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("damasktack"));
 }
 
+// Writes the last lines. Where standard output takes no more, the logging
+// thread is stuck in its write and would never be joined: the process stayed
+// until the platform killed it. Nothing else is left to do by now, so it ends
+// without these lines.
+void EndLogging(int code) {
+  static constexpr std::chrono::milliseconds kForLastLines(300);
+  std::thread([code] {
+    std::this_thread::sleep_for(kForLastLines);
+    std::_Exit(code);
+  }).detach();
+  spdlog::shutdown();
+}
+
 template <typename Host>
-int Run(damasktack::Settings settings, const std::string& path) {
+int Serve(damasktack::Settings settings, const std::string& path) {
   const sigset_t signals = BlockStopSignals();
-  LogWithoutBlocking();
   Host daemon(std::move(settings));
   return damasktack::Try(
       [&]() -> damasktack::leaf::result<int> {
@@ -108,6 +123,14 @@
       [](const Error& error) { return Report(error, DaemonExit::kFailed); });
 }
 
+template <typename Host>
+int Run(damasktack::Settings settings, const std::string& path) {
+  LogWithoutBlocking();
+  const int code = Serve<Host>(std::move(settings), path);
+  EndLogging(code);
+  return code;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
