--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -51,8 +51,8 @@
   for (const PublishedItem& it : changes.items) {
     Take(it, after_outage, now);
   }
-  // Without the book the rest is not known either: the peer that sent this
-  // would take a reader of it for up to date.
+  // With the new revision this host would count as up to date, and its feeder
+  // would not send the book that it lacks.
   if (misses_book_) {
     return;
   }
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -35,8 +35,8 @@
   std::size_t first_probes = 3;
   std::size_t further_probes = 6;
   // Probes of one endpoint a second that all hosts together may send. Each host
-  // has its part by the size of the fleet; `probe_part` leaves room for hosts
-  // that start anew with a full burst, and for wrong beliefs of that size.
+  // has its part by the size of the fleet; `probe_part` leaves room for the
+  // first probes of hosts that start anew, and for wrong beliefs of that size.
   double probe_limit = 60;
   double probe_part = 0.75;
   // What is unspent in a quiet time may be used in a bad one: probes of this
