Routes pass between hosts as tables; their messages have a file of their own

Cause: a book that grows by 1,564 routes goes out whole, as objects of 27 values a route: seeds queued some 300 KB for each of 40 hosts, and each host built several megabytes to read it.

--- a/fleet/message_json.h
+++ b/fleet/message_json.h
@@ -12,6 +12,19 @@
 // The most members that a list inside one message may have.
 inline constexpr std::size_t kLongestMessageList = 4096;
 
+// The longest time in a message, in microseconds: eleven days.
+inline constexpr std::int64_t kLongestMessageTime = 1'000'000'000'000;
+
+inline std::int64_t ToMicroseconds(Duration time) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+}
+
+inline void ReadTime(JsonReader& reader, std::string_view key, Duration& out) {
+  std::int64_t us = 0;
+  reader.Read(key, us, 0, kLongestMessageTime);
+  out = std::chrono::microseconds(us);
+}
+
 template <typename Item>
 Json ListToJson(const std::vector<Item>& items) {
   Json json = Json::array();
--- /dev/null
+++ b/tests/core/test_column_table.cc
@@ -0,0 +1,45 @@
+#include "core/column_table.h"
+
+#include <doctest/doctest.h>
+
+namespace damasktack {
+namespace {
+
+std::optional<Error> Fault(const Json& json) {
+  return FaultOf([&]() -> leaf::result<void> {
+    BOOST_LEAF_CHECK(ColumnTable::Open(json, "table"));
+    return {};
+  });
+}
+
+TEST_CASE("a row comes back by the names of its columns") {
+  const Json json = ColumnTable::Make(
+      {"name", "size"},
+      Json::array({Json::array({"a", 1}), Json::array({"b", nullptr})}));
+  std::vector<Json> rows;
+  const auto fault = FaultOf([&]() -> leaf::result<void> {
+    BOOST_LEAF_AUTO(table, ColumnTable::Open(json, "table"));
+    for (std::size_t n = 0; n < table.size(); ++n) {
+      rows.push_back(table.Row(n));
+    }
+    return {};
+  });
+  REQUIRE(!fault);
+  CHECK(rows ==
+        std::vector<Json>{{{"name", "a"}, {"size", 1}}, {{"name", "b"}}});
+}
+
+TEST_CASE("tables of another shape are refused with the row named") {
+  CHECK(Fault(Json::array()));
+  CHECK(Fault({{"columns", {"name"}}}));
+  CHECK(Fault({{"columns", "name"}, {"rows", Json::array()}}));
+  CHECK(Fault({{"columns", {"name"}}, {"rows", Json::array({"a"})}}));
+  const auto short_row = Fault(ColumnTable::Make(
+      {"name", "size"},
+      Json::array({Json::array({"a", 1}), Json::array({"b"})})));
+  REQUIRE(short_row);
+  CHECK(short_row->where == "table row 1");
+}
+
+}  // namespace
+}  // namespace damasktack
