Hosts turn to endpoints in groups of their own, and a storm of probes is cut short

Three reasons: beyond its first eight a host looked at any endpoint at random, so that each burst opened connections to a whole zone; every host looked once at every endpoint that had joined, which is cold and so no good one, and went on to all others; answers that a busy or starting host had not read yet counted as missing after 8 ms, and six more endpoints were asked, again and again. Change: groups of eight by a hash, each a little dearer (policy/endpoint_preference); joined endpoints are looked at by hosts that favour them; patience grows by as much again for each three probes that are overdue, up to 40 ms; with three looks the best fresh endpoint takes a call that is on time there.

Tests: tests/policy, the storm, the burst and the joined endpoints; three looks.

--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -1,7 +1,5 @@
 #include "policy/measured_balancer.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -27,7 +25,9 @@
 // to be looked at before the others.
 constexpr Duration kSettling = std::chrono::seconds(5);
 // One that has joined and was never measured is looked at before others: left
-// out of the first look it would get no calls while the others suffice.
+// out of the first look it would get no calls while the others suffice. Only by
+// hosts that will turn to it later: 124 hosts that each looked at 20 that had
+// joined opened 2,500 connections for it.
 constexpr double kNewLook = 0.3;
 // One on trial is for calls that find nothing better.
 constexpr double kTrialCost = 2;
@@ -61,6 +61,7 @@
                                    std::uint64_t seed)
     : options_(std::move(options)),
       random_(seed),
+      preference_(options_.preference),
       queue_(options_.admission),
       retries_(options_.retries),
       probe_budget_(0, options_.probe_burst) {}
@@ -95,7 +96,7 @@
     roster_.OnListed(*index, spec.state, now);
   }
   roster_.Recount();
-  ChooseFavoured();
+  DrawPreference();
 }
 
 void MeasuredBalancer::ShareProbes(std::size_t endpoints,
@@ -109,22 +110,15 @@
       rate, std::max(options_.probe_burst, rate * saving.count()), now);
 }
 
-void MeasuredBalancer::ChooseFavoured() {
-  std::vector<std::pair<std::uint64_t, EndpointIndex>> near;
+void MeasuredBalancer::DrawPreference() {
+  std::vector<EndpointPreference::Choice> choices;
   for (EndpointIndex n = 0; n < specs_.size(); ++n) {
     const EndpointRecord& record = roster_.records()[n];
-    if (record.listed && !record.listed_as_leaving && !record.other_zone) {
-      const std::string name = options_.host.text() + specs_[n].id.text();
-      near.emplace_back(XXH3_64bits(name.data(), name.size()), n);
+    if (record.listed && !record.listed_as_leaving) {
+      choices.push_back({n, specs_[n].id, record.other_zone});
     }
   }
-  favoured_.assign(specs_.size(), false);
-  const std::size_t most = std::min(near.size(), options_.favoured);
-  std::ranges::partial_sort(near,
-                            near.begin() + static_cast<std::ptrdiff_t>(most));
-  for (std::size_t n = 0; n < most; ++n) {
-    favoured_[near[n].second] = true;
-  }
+  preference_.Draw(options_.host, choices, specs_.size());
 }
 
 std::optional<EndpointIndex> MeasuredBalancer::Find(
@@ -172,19 +166,14 @@
   // does take ends no later for that.
   const double disfavour = 1 + record.penalty;
   it.cost = Scaled(it.finish, disfavour);
-  if (record.other_zone) {
-    it.cost += Scaled(usual_time_, options_.other_zone_cost);
-  } else if (!favoured_[index]) {
-    it.cost += Scaled(usual_time_, options_.unfavoured_cost);
-  }
+  it.cost += Scaled(usual_time_, preference_.Cost(index));
   it.is_good =
       it.is_fresh && queued == 0 && pace * disfavour <= options_.good_pace;
   return it;
 }
 
-std::optional<MeasuredBalancer::Candidate> MeasuredBalancer::Best(
-    const WaitingCall& call,
-    TimePoint now) {
+std::optional<MeasuredBalancer::Candidate>
+MeasuredBalancer::Best(const WaitingCall& call, Among among, TimePoint now) {
   roster_.Advance(now);
   std::optional<Candidate> best;
   const auto usable = roster_.usable();
@@ -201,6 +190,9 @@
       continue;
     }
     const Candidate it = Weigh(index, now);
+    if (among == Among::kFresh && !it.is_fresh) {
+      continue;
+    }
     const bool is_better =
         !best || (it.is_good && !best->is_good) ||
         (it.is_good == best->is_good && it.cost < best->cost);
@@ -211,11 +203,47 @@
   return best;
 }
 
+std::optional<MeasuredBalancer::Candidate> MeasuredBalancer::SettleFor(
+    const WaitingCall& call,
+    TimePoint now) {
+  if (CountFresh(now) < options_.enough) {
+    return std::nullopt;
+  }
+  const std::optional<Candidate> best = Best(call, Among::kFresh, now);
+  return best && IsOnTime(call, *best, now) ? best : std::nullopt;
+}
+
 bool MeasuredBalancer::AwaitsProbes(TimePoint now) const {
-  return !wanted_probes_.empty() ||
-         std::ranges::any_of(roster_.usable(), [&](EndpointIndex it) {
-           return measures_[it].IsPending(now, options_.probe_patience);
-         });
+  if (!wanted_probes_.empty()) {
+    return true;
+  }
+  const Duration patience = ProbePatience(now);
+  return std::ranges::any_of(roster_.usable(), [&](EndpointIndex it) {
+    return measures_[it].IsPending(now, patience);
+  });
+}
+
+std::size_t MeasuredBalancer::CountFresh(TimePoint now) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(roster_.usable(), [&](EndpointIndex it) {
+        return measures_[it].IsFresh(now, options_.fresh);
+      }));
+}
+
+// A host that had just started, or was slow, had 30 endpoints of all zones
+// probed for one call, 8 ms after each other, while the answers to the first
+// ones stood unread.
+Duration MeasuredBalancer::ProbePatience(TimePoint now) const {
+  const auto overdue =
+      std::ranges::count_if(roster_.usable(), [&](EndpointIndex it) {
+        return measures_[it].HasProbe() &&
+               !measures_[it].IsPending(now, options_.probe_patience);
+      });
+  const auto looks =
+      overdue / static_cast<std::ptrdiff_t>(
+                    std::max<std::size_t>(options_.first_probes, 1));
+  return std::min<Duration>(options_.probe_patience * (1 + looks),
+                            options_.most_patience);
 }
 
 bool MeasuredBalancer::Measure(TimePoint now) {
@@ -232,7 +260,8 @@
       unknown.push_back(Weigh(it, now));
       const bool has_joined =
           roster_.records()[it].state != EndpointState::kServing;
-      if (has_joined && measures_[it].ReportAge(now) < Duration::zero()) {
+      if (has_joined && preference_.IsFirst(it) &&
+          measures_[it].ReportAge(now) < Duration::zero()) {
         unknown.back().cost = Scaled(unknown.back().cost, kNewLook);
       }
     }
@@ -257,6 +286,13 @@
   return any;
 }
 
+bool MeasuredBalancer::IsOnTime(const WaitingCall& call,
+                                const Candidate& best,
+                                TimePoint now) const {
+  return now + Scaled(best.finish, options_.on_time_margin) <=
+         call.offer.on_time_until;
+}
+
 // The call has been held for as long as it may be; it goes to a place that is
 // free, if it ends before its deadline there, though late.
 bool MeasuredBalancer::IsLastChance(const WaitingCall& call,
@@ -266,32 +302,34 @@
          now + best.finish < call.offer.deadline;
 }
 
-MeasuredBalancer::Step MeasuredBalancer::Decide(
-    const WaitingCall& call,
-    const std::optional<Candidate>& best,
-    TimePoint now) {
+MeasuredBalancer::Choice MeasuredBalancer::Decide(const WaitingCall& call,
+                                                  TimePoint now) {
+  const std::optional<Candidate> best = Best(call, Among::kAll, now);
   if (!best) {
     const bool given_up = unusable_since_ && now - *unusable_since_ >=
                                                  options_.no_endpoint_patience;
-    return given_up ? Step::kRefuse : Step::kWait;
+    return {given_up ? Step::kRefuse : Step::kWait, best};
   }
   if (best->is_good) {
-    return Step::kSend;
+    return {Step::kSend, best};
+  }
+  if (const std::optional<Candidate> settled = SettleFor(call, now)) {
+    return {Step::kSend, settled};
   }
   if (AwaitsProbes(now) || Measure(now)) {
-    return Step::kWait;
+    return {Step::kWait, best};
   }
-  const CallOffer& offer = call.offer;
-  if (now + Scaled(best->finish, options_.on_time_margin) <=
-      offer.on_time_until) {
-    return Step::kSend;
+  if (IsOnTime(call, *best, now)) {
+    return {Step::kSend, best};
   }
+  const CallOffer& offer = call.offer;
   const Duration held_most =
       Scaled(offer.on_time_until - offer.arrival, options_.held_part);
   if (now - offer.arrival < held_most) {
-    return Step::kWait;
+    return {Step::kWait, best};
   }
-  return IsLastChance(call, *best, now) ? Step::kSend : Step::kRefuse;
+  const bool is_last_chance = IsLastChance(call, *best, now);
+  return {is_last_chance ? Step::kSend : Step::kRefuse, best};
 }
 
 void MeasuredBalancer::Offer(const CallOffer& offer,
@@ -325,8 +363,7 @@
 bool MeasuredBalancer::PumpOne(TimePoint now, Decisions& out) {
   for (const Urgency urgency : queue_.Order()) {
     const WaitingCall& head = *queue_.Head(urgency);
-    const std::optional<Candidate> best = Best(head, now);
-    const Step step = Decide(head, best, now);
+    const auto [step, best] = Decide(head, now);
     if (step == Step::kSend) {
       Send(queue_.Take(urgency), *best, now, out);
       return true;
@@ -405,7 +442,7 @@
                                           const SendEnd& end,
                                           TimePoint now) {
   const WaitingCall call{offer, end.endpoint};
-  return RetryAfter(offer, Best(call, now), now);
+  return RetryAfter(offer, Best(call, Among::kAll, now), now);
 }
 
 void MeasuredBalancer::Learn(const SendEnd& end) {
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -9,6 +9,7 @@
 #include "policy/admission_queue.h"
 #include "policy/balancer.h"
 #include "policy/endpoint_measure.h"
+#include "policy/endpoint_preference.h"
 #include "policy/endpoint_roster.h"
 #include "policy/retry_budget.h"
 
@@ -29,11 +30,18 @@
   // Endpoints change their pace about twice a second.
   Duration memory = std::chrono::milliseconds(250);
   // How long a decision waits for probes: twice the way to another zone and
-  // back, and some work at both ends.
+  // back, and some work at both ends. As much again for each first look that is
+  // overdue, up to `most_patience`: then this host is short of processor time,
+  // and further probes would make it shorter.
   Duration probe_patience = std::chrono::milliseconds(8);
+  Duration most_patience = std::chrono::milliseconds(40);
   // Probes of a first look, near ones first, and of each further one.
   std::size_t first_probes = 3;
   std::size_t further_probes = 6;
+  // With fresh reports of so many a call that is on time at the best of them
+  // goes there: where most are cold or slow, a look at all others cost 40
+  // probes and 30 ms for one call.
+  std::size_t enough = 15;
   // Probes of one endpoint a second that all hosts together may send. Each host
   // has its part by the size of the fleet; `probe_part` leaves room for the
   // first probes of hosts that start anew, and for wrong beliefs of that size.
@@ -52,15 +60,7 @@
   // A call is sent where it would still be on time if it took this much longer
   // than is expected; work varies by about a third.
   double on_time_margin = 1.3;
-  // What another zone costs, by the time of an execution: crossing costs bytes
-  // that are billed.
-  double other_zone_cost = 0.15;
-  // Endpoints of its zone to which a host turns first, and what another one
-  // costs, by the time of an execution. Each host has its own, so that it keeps
-  // connections to few and all of them are used alike. More than enough that
-  // some of a first look are neither slow nor full.
-  std::size_t favoured = 8;
-  double unfavoured_cost = 0.08;
+  EndpointPreferenceOptions preference;
   // Calls wait this long for a usable endpoint before they are refused.
   Duration no_endpoint_patience = std::chrono::milliseconds(150);
 };
@@ -126,19 +126,34 @@
     bool is_fresh = false;
     bool is_good = false;
   };
+  // Whether also endpoints count of which only what is usual is known.
+  enum class Among : std::uint8_t { kAll, kFresh };
   enum class Step : std::uint8_t { kSend, kRefuse, kWait };
+  // What to do with a call, and the endpoint that it goes to or, where it is
+  // not sent, the best there is.
+  struct Choice {
+    Step step = Step::kWait;
+    std::optional<Candidate> best;
+  };
 
   Candidate Weigh(EndpointIndex index, TimePoint now) const;
-  // The cheapest for the call among those looked at; null without any.
-  std::optional<Candidate> Best(const WaitingCall& call, TimePoint now);
-  Step Decide(const WaitingCall& call,
-              const std::optional<Candidate>& best,
-              TimePoint now);
+  // The cheapest for the call; null without any.
+  std::optional<Candidate> Best(const WaitingCall& call,
+                                Among among,
+                                TimePoint now);
+  // The best of enough fresh reports, where the call is on time there.
+  std::optional<Candidate> SettleFor(const WaitingCall& call, TimePoint now);
+  Choice Decide(const WaitingCall& call, TimePoint now);
+  bool IsOnTime(const WaitingCall& call,
+                const Candidate& best,
+                TimePoint now) const;
   bool IsLastChance(const WaitingCall& call,
                     const Candidate& best,
                     TimePoint now) const;
   // Whether probes are on their way that a decision should wait for.
   bool AwaitsProbes(TimePoint now) const;
+  Duration ProbePatience(TimePoint now) const;
+  std::size_t CountFresh(TimePoint now) const;
   // Asks for further probes; false where there is nobody left to probe, or no
   // budget.
   bool Measure(TimePoint now);
@@ -161,9 +176,7 @@
   void Learn(const SendEnd& end);
   void WatchUsable(TimePoint now);
   void ShareProbes(std::size_t endpoints, std::int64_t hosts, TimePoint now);
-  // Draws this host's favoured endpoints anew; one that is added or removed
-  // moves no others.
-  void ChooseFavoured();
+  void DrawPreference();
   std::optional<EndpointIndex> Find(const EndpointSpec& spec) const;
   bool MayMeasure() const;
 
@@ -171,7 +184,7 @@
   Random random_;
   std::vector<EndpointSpec> specs_;
   std::vector<EndpointMeasure> measures_;
-  std::vector<bool> favoured_;
+  EndpointPreference preference_;
   EndpointRoster roster_;
   MeasurePrior prior_;
   AdmissionQueue queue_;
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace damasktack {
@@ -306,5 +307,95 @@
   CHECK(found == 10);
 }
 
+// A caller waits, and every other call of the host with it. The host has just
+// started, or gets a third of its processor time, and the answers to its first
+// probes stand unread for 30 ms. Asking all other endpoints meanwhile took the
+// time in which it could have read them.
+TEST_CASE("a host that is behind with its probes asks no storm of others") {
+  Harness harness(40);
+  Decisions out;
+  harness.balancer.Offer(MakeCall(1, harness.now), harness.now, out);
+  int asked = 0;
+  for (int n = 0; n < 23; ++n) {
+    while (harness.balancer.NextProbe(harness.now)) {
+      ++asked;
+    }
+    harness.now += milliseconds(1);
+    harness.balancer.Tick(harness.now, out);
+  }
+  CHECK(out.dispatches.empty());
+  CHECK(asked <= 9);
+}
+
+// Half of a service was replaced, and all that a host looks at first works at
+// half of the usual speed while it is cold; a call of 60 ms is on time there.
+// One call had every endpoint of all zones probed.
+TEST_CASE("three looks are enough where the best of them is on time") {
+  Harness harness(40);
+  for (EndpointIndex n = 0; n < 40; ++n) {
+    harness.reports[n] = MakeReport(0, 2);
+  }
+  const Decisions out = harness.Offer(MakeCall(1, harness.now));
+  CHECK(out.dispatches.size() == 1);
+  CHECK(harness.probes <= 15);
+}
+
+// In a burst the endpoints that a host turns to first are full. Looking at any
+// other one it opened a connection to each of its zone, burst after burst.
+TEST_CASE("bursts turn to the same endpoints again") {
+  constexpr int kEndpoints = 80;
+  Harness harness(kEndpoints);
+  harness.now += std::chrono::seconds(10);
+  std::set<EndpointIndex> first;
+  for (CallToken token = 1; token <= 100; ++token) {
+    harness.now += milliseconds(200);
+    Decisions out;
+    harness.balancer.Offer(MakeCall(token, harness.now), harness.now, out);
+    while (const auto probe = harness.balancer.NextProbe(harness.now)) {
+      first.insert(*probe);
+      harness.balancer.Report(*probe, MakeReport(first.size() > 8 ? 0 : 3, 1),
+                              harness.now, out);
+    }
+    REQUIRE(out.dispatches.size() == 1);
+    harness.End(MakeCall(token, harness.now), out.dispatches[0].endpoint,
+                SendResult::kAnswered, out);
+  }
+  CHECK(first.size() <= 20);
+}
+
+// Twenty endpoints join a service of eighty on which a hundred hosts place
+// calls. Each host looks only at those that it will turn to later.
+TEST_CASE("endpoints that join are looked at by the hosts that favour them") {
+  constexpr int kBefore = 80;
+  constexpr int kAfter = 100;
+  constexpr int kHosts = 30;
+  std::map<EndpointIndex, int> hosts_that_look;
+  for (int host = 0; host < kHosts; ++host) {
+    MeasuredBalancerOptions options = MakeOptions();
+    options.host = HostId("h" + std::to_string(host));
+    MeasuredBalancer balancer(options, 7);
+    TimePoint now = kStart;
+    balancer.SetService(MakeService(kBefore), kHosts, now);
+    now += std::chrono::seconds(10);
+    balancer.SetService(MakeService(kAfter), kHosts, now);
+    for (CallToken token = 1; token <= 30; ++token) {
+      now += milliseconds(200);
+      Decisions out;
+      balancer.Offer(MakeCall(token, now), now, out);
+      while (const auto probe = balancer.NextProbe(now)) {
+        if (*probe >= kBefore) {
+          ++hosts_that_look[*probe];
+        }
+        balancer.Report(*probe, MakeReport(0, 1), now, out);
+      }
+    }
+  }
+  // Each of the twenty is looked at, and not by each host.
+  CHECK(hosts_that_look.size() == kAfter - kBefore);
+  for (const auto& [endpoint, looks] : hosts_that_look) {
+    CHECK(looks < kHosts * 3);
+  }
+}
+
 }  // namespace
 }  // namespace damasktack
