Hosts linked to a seed ask a store that is away every three seconds

Linked to a seed, a host now waits 1.5 to 4.5 s after a failure; cut off from all seeds it asks as before.

--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -166,13 +166,21 @@
   const Duration longest = rank_ == FeedHello::kNoSeed
                                ? options_.longest_follower_backoff
                                : options_.longest_backoff;
-  backoff_ = std::clamp(2 * backoff_, options_.shortest_backoff, longest);
+  const bool is_told = rank_ == FeedHello::kNoSeed && IsLinkedToSeed();
+  backoff_ = is_told
+                 ? options_.linked_backoff
+                 : std::clamp(2 * backoff_, options_.shortest_backoff, longest);
   // From half of it to one and a half, so that hosts that lost the store
   // together do not come back together.
   constexpr std::uint32_t kScale = 1000;
   return backoff_ / 2 + backoff_ * UniformBelow(random_, kScale) / kScale;
 }
 
+bool PublishedFeed::IsLinkedToSeed() const {
+  return std::ranges::any_of(
+      peers_, [&](const auto& it) { return IsFeeder(it.second); });
+}
+
 FeedHello PublishedFeed::Hello() const {
   return {rank_, options_.address, view_.revision(), CountFollowers()};
 }
@@ -214,6 +222,10 @@
   return peer.hello && peer.hello->rank > rank_;
 }
 
+bool PublishedFeed::IsFeeder(const Peer& peer) const {
+  return peer.hello && peer.hello->rank < rank_;
+}
+
 void PublishedFeed::OnMessage(const HostId& host,
                               const PeerMessage& message,
                               TimePoint now,
@@ -304,7 +316,7 @@
   }
   next_hello_ = now + options_.hello;
   for (const auto& [host, peer] : peers_) {
-    if (peer.hello && peer.hello->rank < rank_) {
+    if (IsFeeder(peer)) {
       out.Send(host, Hello());
     }
   }
