Stop signals are blocked before the first thread starts

While the main thread waits for signals it gets them; while it starts, reloads or stops, the kernel gave them to the other thread, whose default action ended the process with calls in hand. Ruled out: settings that cannot be read (no line), the process's own end (its exit code would be no signal). Left: a signal before main() is reached still ends a process that has taken nothing.

--- a/main/damasktack_main.cc
+++ b/main/damasktack_main.cc
@@ -35,7 +35,9 @@
 constexpr int kExitOk = static_cast<int>(DaemonExit::kDone);
 
 // Blocks the signals in this thread and all later ones, so that the one that
-// waits for them gets them.
+// waits for them gets them. Called before anything else: a signal that came
+// while the host started or stopped was taken by a thread that did not block it
+// and ended the process, with calls in hand.
 sigset_t BlockStopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
@@ -111,8 +113,9 @@
 }
 
 template <typename Host>
-int Serve(damasktack::Settings settings, const std::string& path) {
-  const sigset_t signals = BlockStopSignals();
+int Serve(damasktack::Settings settings,
+          const std::string& path,
+          const sigset_t& signals) {
   Host daemon(std::move(settings));
   return damasktack::Try(
       [&]() -> damasktack::leaf::result<int> {
@@ -124,9 +127,11 @@
 }
 
 template <typename Host>
-int Run(damasktack::Settings settings, const std::string& path) {
+int Run(damasktack::Settings settings,
+        const std::string& path,
+        const sigset_t& signals) {
   LogWithoutBlocking();
-  const int code = Serve<Host>(std::move(settings), path);
+  const int code = Serve<Host>(std::move(settings), path, signals);
   EndLogging(code);
   return code;
 }
@@ -134,6 +139,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  const sigset_t signals = BlockStopSignals();
   const po::options_description options = damasktack::DaemonOptions();
   po::variables_map given;
   try {
@@ -167,9 +173,10 @@
           std::cout << "settings are sound: " << path << "\n";
           return kExitOk;
         }
-        return settings.store.enabled
-                   ? Run<damasktack::StoreDaemon>(std::move(settings), path)
-                   : Run<damasktack::Daemon>(std::move(settings), path);
+        return settings.store.enabled ? Run<damasktack::StoreDaemon>(
+                                            std::move(settings), path, signals)
+                                      : Run<damasktack::Daemon>(
+                                            std::move(settings), path, signals);
       },
       [](const Error& error) {
         return Report(error, DaemonExit::kBadSettings);
