--- a/fleet/cbor_bounds.cc
+++ b/fleet/cbor_bounds.cc
@@ -25,15 +25,18 @@
   std::uint64_t argument = 0;
 };
 
-leaf::error_id Refuse(std::size_t position, std::string found) {
-  return Fail(ErrorKind::kProtocol, "cbor byte " + std::to_string(position),
+leaf::error_id Refuse(std::string_view where,
+                      std::size_t position,
+                      std::string found) {
+  return Fail(ErrorKind::kProtocol,
+              std::string(where) + " byte " + std::to_string(position),
               std::move(found), std::string(kRemedy));
 }
 
 class Walker {
  public:
-  Walker(std::string_view bytes, std::size_t most_items)
-      : bytes_(bytes), most_items_(most_items) {}
+  Walker(std::string_view bytes, std::string_view where, std::size_t most_items)
+      : bytes_(bytes), where_(where), most_items_(most_items) {}
 
   leaf::result<void> Walk() {
     // How many values each open array or map still wants.
@@ -46,7 +49,7 @@
       }
       --wanted.back();
       if (++items > most_items_) {
-        return Refuse(position_, "too many values");
+        return Refuse(where_, position_, "too many values");
       }
       BOOST_LEAF_AUTO(head, ReadHead());
       BOOST_LEAF_AUTO(children, Children(head));
@@ -54,12 +57,12 @@
         continue;
       }
       if (wanted.size() == kDeepestCbor) {
-        return Refuse(position_, "nested too deep");
+        return Refuse(where_, position_, "nested too deep");
       }
       wanted.push_back(children);
     }
     if (position_ != bytes_.size()) {
-      return Refuse(position_, "bytes after the value");
+      return Refuse(where_, position_, "bytes after the value");
     }
     return {};
   }
@@ -74,7 +77,7 @@
     constexpr std::uint8_t kLastLongInfo = 27;
     constexpr unsigned kByteBits = 8;
     if (left() == 0) {
-      return Refuse(position_, "the value is cut short");
+      return Refuse(where_, position_, "the value is cut short");
     }
     const auto first = static_cast<std::uint8_t>(bytes_[position_++]);
     const std::uint8_t info = first & kInfoMask;
@@ -83,11 +86,11 @@
       return head;
     }
     if (info > kLastLongInfo) {
-      return Refuse(position_, "a length that is not known in advance");
+      return Refuse(where_, position_, "a length that is not known in advance");
     }
     const std::size_t n = std::size_t{1} << (info - kFirstLongInfo);
     if (left() < n) {
-      return Refuse(position_, "the value is cut short");
+      return Refuse(where_, position_, "the value is cut short");
     }
     head.argument = 0;
     for (std::size_t k = 0; k < n; ++k) {
@@ -101,7 +104,7 @@
   leaf::result<std::uint64_t> Children(const Head& head) {
     const bool counted = head.major >= kByteString && head.major <= kMap;
     if (counted && head.argument > left()) {
-      return Refuse(position_, "a length beyond the end");
+      return Refuse(where_, position_, "a length beyond the end");
     }
     switch (head.major) {
       case kByteString:
@@ -113,13 +116,14 @@
       case kMap:
         return 2 * head.argument;
       case kTag:
-        return Refuse(position_, "a tag");
+        return Refuse(where_, position_, "a tag");
       default:
         return std::uint64_t{0};
     }
   }
 
   std::string_view bytes_;
+  std::string_view where_;
   std::size_t most_items_;
   std::size_t position_ = 0;
 };
@@ -127,14 +131,15 @@
 }  // namespace
 
 leaf::result<void> CheckCborBounds(std::string_view bytes,
+                                   std::string_view where,
                                    std::size_t most_items) {
-  return Walker(bytes, most_items).Walk();
+  return Walker(bytes, where, most_items).Walk();
 }
 
 leaf::result<Json> ParseCbor(std::string_view bytes,
                              std::string_view where,
                              std::size_t most_items) {
-  BOOST_LEAF_CHECK(CheckCborBounds(bytes, most_items));
+  BOOST_LEAF_CHECK(CheckCborBounds(bytes, where, most_items));
   Json json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
   if (json.is_discarded()) {
     return Fail(ErrorKind::kProtocol, std::string(where), "not a CBOR value",
--- a/fleet/cbor_bounds.h
+++ b/fleet/cbor_bounds.h
@@ -19,11 +19,12 @@
 // recursion: a megabyte of 0x7f bytes would end the process by overflow of its
 // stack. This check runs in constant stack before it, and what passes cannot
 // make the library recurse deeper or hold more values than the bounds say.
+// `where` names the source in errors.
 leaf::result<void> CheckCborBounds(std::string_view bytes,
+                                   std::string_view where,
                                    std::size_t most_items = kMostCborItems);
 
-// Parses one CBOR value within these bounds. `where` names the source in
-// errors.
+// Parses one CBOR value within these bounds.
 leaf::result<Json> ParseCbor(std::string_view bytes,
                              std::string_view where,
                              std::size_t most_items = kMostCborItems);
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -302,8 +302,8 @@
          now + best.finish < call.offer.deadline;
 }
 
-MeasuredBalancer::Choice MeasuredBalancer::Decide(const WaitingCall& call,
-                                                  TimePoint now) {
+MeasuredBalancer::Decision MeasuredBalancer::Decide(const WaitingCall& call,
+                                                    TimePoint now) {
   const std::optional<Candidate> best = Best(call, Among::kAll, now);
   if (!best) {
     const bool given_up = unusable_since_ && now - *unusable_since_ >=
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -131,7 +131,7 @@
   enum class Step : std::uint8_t { kSend, kRefuse, kWait };
   // What to do with a call, and the endpoint that it goes to or, where it is
   // not sent, the best there is.
-  struct Choice {
+  struct Decision {
     Step step = Step::kWait;
     std::optional<Candidate> best;
   };
@@ -143,7 +143,7 @@
                                 TimePoint now);
   // The best of enough fresh reports, where the call is on time there.
   std::optional<Candidate> SettleFor(const WaitingCall& call, TimePoint now);
-  Choice Decide(const WaitingCall& call, TimePoint now);
+  Decision Decide(const WaitingCall& call, TimePoint now);
   bool IsOnTime(const WaitingCall& call,
                 const Candidate& best,
                 TimePoint now) const;
