A fed host says of outages what its feeder says

Now a host that is fed passes on its feeder's word; its own counts while it is not. Test: tests/fleet, red before.

--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -65,6 +65,10 @@
   return now - *confirmed_at_ >= StaleAfter();
 }
 
+bool PublishedFeed::IsFed(TimePoint now) const {
+  return fed_at_ && now - *fed_at_ < StaleAfter();
+}
+
 void PublishedFeed::Confirm(TimePoint at) {
   if (!confirmed_at_ || *confirmed_at_ < at) {
     confirmed_at_ = at;
@@ -82,8 +86,8 @@
     ++counters_.reads;
     return {FeedStep::Kind::kReadAnyCopy, options_.start_patience};
   }
-  const bool is_fed = fed_at_ && now - *fed_at_ < StaleAfter();
-  const bool reads = rank_ == 0 || (!is_fed && (reads_store_ || IsStale(now)));
+  const bool reads =
+      rank_ == 0 || (!IsFed(now) && (reads_store_ || IsStale(now)));
   if (reads != reads_store_) {
     reads_store_ = reads;
     is_synced_ = false;
@@ -118,7 +122,13 @@
           std::clamp<Duration>(wait, kShortestWait, options_.watch)};
 }
 
+// What a host that is fed lost itself says nothing: a seed that the store
+// turned away, and that another seed fed, had its hosts keep removed endpoints
+// for 1.5 s longer.
 bool PublishedFeed::IsAfterOutage(TimePoint now) const {
+  if (IsFed(now)) {
+    return feeder_after_outage_;
+  }
   return lost_contact_ ||
          (regained_at_ && now - *regained_at_ < options_.after_outage);
 }
@@ -273,6 +283,7 @@
   if (!fed_at_ || *fed_at_ < confirmed) {
     fed_at_ = confirmed;
   }
+  feeder_after_outage_ = update.after_outage;
 }
 
 void PublishedFeed::SendUpdate(const HostId& host,
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -132,6 +132,7 @@
   bool Follows(const Peer& peer) const;
   bool IsFeeder(const Peer& peer) const;
   bool IsStale(TimePoint now) const;
+  bool IsFed(TimePoint now) const;
   Duration StaleAfter() const;
   Duration StartPatience() const;
 
@@ -171,6 +172,8 @@
   // A whole read has come since this host began to read.
   bool is_synced_ = false;
   bool lost_contact_ = false;
+  // What the last update said of its sender, or of the host that feeds that.
+  bool feeder_after_outage_ = false;
   TimePoint next_call_;
   TimePoint next_hello_;
   Duration backoff_{};
--- a/tests/fleet/test_published_feed.cc
+++ b/tests/fleet/test_published_feed.cc
@@ -66,6 +66,54 @@
   }
 }
 
+FeedUpdate UpdateTo(Revision after, Revision current, bool after_outage) {
+  FeedUpdate update;
+  update.after = after;
+  update.whole = after == 0;
+  update.changes.current = current;
+  update.after_outage = after_outage;
+  return update;
+}
+
+// A caller's request reaches an endpoint that left more than two seconds ago.
+// The store turns the first and the third seed away; the third tries it once,
+// fails, and is fed by the second from then on. It took itself for one that has
+// no store, and had its hosts keep whatever was removed for another second and
+// a half, as is right only after an outage of the host that reads.
+TEST_CASE("a fed seed says of outages what its feeder says") {
+  const HostId feeder("h1");
+  const HostId follower("h9");
+  PublishedFeedOptions options;
+  options.self = HostId("h2");
+  options.address = {"10.0.0.2", 80};
+  options.seeds = {{"10.0.0.0", 80}, {"10.0.0.1", 80}, options.address};
+  PublishedFeed feed(options, 1);
+  TimePoint now{std::chrono::hours(1)};
+  Outbox out;
+  feed.Next(now);
+  now += seconds(1);
+  feed.Next(now);
+  feed.OnFailure(Error{ErrorKind::kRefused, "store", "503", "wait"}, now);
+  feed.OnLinkUp(feeder, now, out);
+  feed.OnMessage(feeder, FeedHello{1, {"10.0.0.1", 80}, 5, 0}, now, out);
+  feed.OnMessage(feeder, UpdateTo(0, 5, false), now, out);
+  feed.OnLinkUp(follower, now, out);
+  feed.OnMessage(follower,
+                 FeedHello{FeedHello::kNoSeed, {"10.0.0.9", 80}, 5, 0}, now,
+                 out);
+  for (const bool after_outage : {false, true, false}) {
+    out.Take();
+    now += milliseconds(100);
+    const Revision known = feed.view().revision();
+    feed.OnMessage(feeder, UpdateTo(known, known + 1, after_outage), now, out);
+    feed.Feed(now, out);
+    const std::vector<Outbox::Item> sent = out.Take();
+    const auto passed = std::ranges::find(sent, follower, &Outbox::Item::to);
+    REQUIRE(passed != sent.end());
+    CHECK(std::get<FeedUpdate>(passed->message).after_outage == after_outage);
+  }
+}
+
 // Budgets of the fleet are shared by its size, which nobody publishes. Hosts
 // are lost and come back; the belief follows.
 TEST_CASE("every host learns how many hosts there are") {
