Endpoints that start again under their id are other processes

Cause: an endpoint was known by its id and address. After a restart under both, its load, pace, ejection and connections were still taken for its own; one that had moved under its id stayed in use at its old address as well, since only the id was looked for among those that are gone. Change: EndpointSpec bears the start of its process, peers pass it on (hosts of the version before ignore it), the balancers and the pool of connections keep what they know by process. One that has restarted is cold, also while a fleet starts. Shown: tests in tests/policy and tests/proxy, red before (own calls of the former process counted, its idle connection was handed out).

--- a/contract/service.h
+++ b/contract/service.h
@@ -1,6 +1,7 @@
 #ifndef CONTRACT_SERVICE_H_
 #define CONTRACT_SERVICE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -15,6 +16,11 @@
 enum class ListedState : std::uint8_t { kLive, kLeaving };
 std::string_view ToString(ListedState state);
 
+// When an endpoint's process started, by its own clock: tells apart processes
+// that bear one id after the other. The default stands for a start that is not
+// published and comes before all others.
+using EndpointStart = std::chrono::sys_time<std::chrono::milliseconds>;
+
 // One server of a service, as published by the platform.
 struct EndpointSpec {
   EndpointId id;
@@ -25,8 +31,15 @@
   // Connections it accepts from the whole fleet.
   std::int64_t connections = 250;
   ListedState state = ListedState::kLive;
+  EndpointStart started_at{};
 
   bool operator==(const EndpointSpec&) const = default;
+  // Whether both speak of one process, so that what was measured of it holds.
+  // One that has started again, or moved, is empty and cold.
+  bool IsSameProcess(const EndpointSpec& other) const {
+    return id == other.id && address == other.address &&
+           started_at == other.started_at;
+  }
 };
 
 // One service: requests whose path starts with `prefix` go to its endpoints.
--- a/fleet/published_messages.cc
+++ b/fleet/published_messages.cc
@@ -13,15 +13,19 @@
 using detail::ToMicroseconds;
 
 constexpr std::int64_t kMostCount = 1'000'000'000'000;
+// Far beyond any clock, and far from where adding times would overflow.
+constexpr std::int64_t kLatestStartMs = 1'000'000'000'000'000;
 
 Json ToJson(const PublishedEndpoint& endpoint) {
-  return Json{{"id", endpoint.spec.id.text()},
-              {"service", endpoint.service.text()},
-              {"address", ToString(endpoint.spec.address)},
-              {"zone", endpoint.spec.zone.text()},
-              {"slots", endpoint.spec.slots},
-              {"leaving", endpoint.spec.state == ListedState::kLeaving},
-              {"cold_us", ToMicroseconds(endpoint.cold_for)}};
+  return Json{
+      {"id", endpoint.spec.id.text()},
+      {"service", endpoint.service.text()},
+      {"address", ToString(endpoint.spec.address)},
+      {"zone", endpoint.spec.zone.text()},
+      {"slots", endpoint.spec.slots},
+      {"leaving", endpoint.spec.state == ListedState::kLeaving},
+      {"cold_us", ToMicroseconds(endpoint.cold_for)},
+      {"started_at_ms", endpoint.spec.started_at.time_since_epoch().count()}};
 }
 
 leaf::result<PublishedEndpoint> ParseEndpoint(const Json& json,
@@ -31,6 +35,7 @@
   std::string service;
   std::string zone;
   bool leaving = false;
+  std::int64_t started_at_ms = 0;
   JsonReader reader(json, path);
   reader.Read("id", id);
   reader.Read("service", service);
@@ -39,11 +44,14 @@
   reader.Read("slots", endpoint.spec.slots, 1, kMostCount);
   reader.ReadOptional("leaving", leaving);
   ReadTime(reader, "cold_us", endpoint.cold_for);
+  reader.ReadOptional("started_at_ms", started_at_ms, 0, kLatestStartMs);
   BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
   endpoint.service = ServiceId(service);
   endpoint.spec.id = EndpointId(id);
   endpoint.spec.zone = ZoneId(zone);
   endpoint.spec.state = leaving ? ListedState::kLeaving : ListedState::kLive;
+  endpoint.spec.started_at =
+      EndpointStart(std::chrono::milliseconds(started_at_ms));
   return endpoint;
 }
 
@@ -60,6 +68,9 @@
     json["endpoint"] = ToJson(*endpoint);
   } else if (const auto* removed = std::get_if<RemovedEndpoint>(&item.value)) {
     json["removed"] = removed->id.text();
+  } else if (const auto* unusable =
+                 std::get_if<UnusableEndpoint>(&item.value)) {
+    json["removed"] = unusable->id.text();
   } else {
     return std::nullopt;
   }
--- a/main/load_generator.cc
+++ b/main/load_generator.cc
@@ -181,7 +181,8 @@
     std::size_t entry) {
   const SocketAddress& address = entries[entry].spec.callers;
   auto connection = std::make_shared<TimedSocket>(context);
-  std::optional<Tcp::socket> idle = pool.Take(address, Clock::now());
+  std::optional<Tcp::socket> idle =
+      pool.Take({address, kConnectionsPerEntry}, Clock::now());
   if (idle) {
     connection->socket = std::move(*idle);
     co_return connection;
--- a/policy/endpoint_table.cc
+++ b/policy/endpoint_table.cc
@@ -31,8 +31,10 @@
   hosts_ = std::max<std::int64_t>(hosts, 1);
   budget_.SetRate(service.probes_per_second, hosts_, now);
   for (EndpointIndex n = 0; n < specs_.size(); ++n) {
-    if (std::ranges::find(service.endpoints, specs_[n].id, &EndpointSpec::id) ==
-        service.endpoints.end()) {
+    const bool is_listed = std::ranges::any_of(
+        service.endpoints,
+        [&](const EndpointSpec& it) { return it.IsSameProcess(specs_[n]); });
+    if (!is_listed) {
       roster_.OnUnlisted(n, now);
     }
   }
@@ -46,8 +48,7 @@
 std::optional<EndpointIndex> EndpointTable::Find(
     const EndpointSpec& spec) const {
   for (EndpointIndex n = 0; n < specs_.size(); ++n) {
-    if (roster_.records()[n].listed && specs_[n].id == spec.id &&
-        specs_[n].address == spec.address) {
+    if (roster_.records()[n].listed && specs_[n].IsSameProcess(spec)) {
       return n;
     }
   }
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -71,8 +71,10 @@
                                   TimePoint now) {
   ShareProbes(service.endpoints.size(), hosts, now);
   for (EndpointIndex n = 0; n < specs_.size(); ++n) {
-    if (std::ranges::find(service.endpoints, specs_[n].id, &EndpointSpec::id) ==
-        service.endpoints.end()) {
+    const bool is_listed = std::ranges::any_of(
+        service.endpoints,
+        [&](const EndpointSpec& it) { return it.IsSameProcess(specs_[n]); });
+    if (!is_listed) {
       roster_.OnUnlisted(n, now);
     }
   }
@@ -83,7 +85,9 @@
   for (const EndpointSpec& spec : service.endpoints) {
     std::optional<EndpointIndex> index = Find(spec);
     if (!index) {
-      index = roster_.Add(as_warm, now);
+      const bool has_restarted =
+          std::ranges::find(specs_, spec.id, &EndpointSpec::id) != specs_.end();
+      index = roster_.Add(as_warm && !has_restarted, now);
       const std::size_t size = std::max<std::size_t>(specs_.size(), *index + 1);
       specs_.resize(size);
       measures_.resize(size);
@@ -124,8 +128,7 @@
 std::optional<EndpointIndex> MeasuredBalancer::Find(
     const EndpointSpec& spec) const {
   for (EndpointIndex n = 0; n < specs_.size(); ++n) {
-    if (roster_.records()[n].listed && specs_[n].id == spec.id &&
-        specs_[n].address == spec.address) {
+    if (roster_.records()[n].listed && specs_[n].IsSameProcess(spec)) {
       return n;
     }
   }
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -94,9 +94,9 @@
 
 asio::awaitable<bool> EndpointExchange::Connect() {
   const TimePoint now = Clock::now();
-  std::optional<Tcp::socket> idle =
-      young_only_ ? pool_.TakeYoung(target_.address, kYoung, now)
-                  : pool_.Take(target_.address, now);
+  std::optional<Tcp::socket> idle = young_only_
+                                        ? pool_.TakeYoung(target_, kYoung, now)
+                                        : pool_.Take(target_, now);
   if (idle) {
     socket_ = std::move(*idle);
     co_return true;
--- a/proxy/endpoint_pool.cc
+++ b/proxy/endpoint_pool.cc
@@ -24,22 +24,30 @@
 EndpointPool::EndpointPool(Duration longest_idle)
     : longest_idle_(longest_idle) {}
 
-std::optional<Tcp::socket> EndpointPool::Take(const SocketAddress& address,
+std::optional<Tcp::socket> EndpointPool::Take(const EndpointTarget& target,
                                               TimePoint now) {
-  return TakeWithin(address, longest_idle_, now);
+  return TakeWithin(target, longest_idle_, now);
 }
 
-std::optional<Tcp::socket> EndpointPool::TakeYoung(const SocketAddress& address,
+std::optional<Tcp::socket> EndpointPool::TakeYoung(const EndpointTarget& target,
                                                    Duration youngest,
                                                    TimePoint now) {
-  return TakeWithin(address, std::min(youngest, longest_idle_), now);
+  return TakeWithin(target, std::min(youngest, longest_idle_), now);
 }
 
+// Connections to a process that has ended without closing them swallow what is
+// sent: the next call there would wait until its deadline, with an outcome that
+// nobody knows. Once another process is meant, none of them is used.
 std::optional<Tcp::socket> EndpointPool::TakeWithin(
-    const SocketAddress& address,
+    const EndpointTarget& target,
     Duration longest,
     TimePoint now) {
-  Connections& connections = by_address_[address];
+  Connections& connections = by_address_[target.address];
+  if (!connections.BelongTo(target)) {
+    connections.idle.clear();
+    connections.id = target.id;
+    connections.started_at = target.started_at;
+  }
   ++connections.used;
   std::vector<Idle>& idle = connections.idle;
   while (!idle.empty()) {
@@ -59,7 +67,9 @@
                        TimePoint now) {
   Lose(target.address);
   Connections& connections = by_address_[target.address];
-  if (connections.used + connections.idle.size() < target.connections) {
+  const bool has_room =
+      connections.used + connections.idle.size() < target.connections;
+  if (has_room && connections.BelongTo(target)) {
     connections.idle.push_back(Idle{std::move(socket), now});
   }
 }
--- a/proxy/endpoint_pool.h
+++ b/proxy/endpoint_pool.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "contract/service.h"
 #include "core/ids.h"
 #include "core/json_reader.h"
 #include "core/time.h"
@@ -22,6 +23,7 @@
   // Whom the request is meant for; the address may have passed to another.
   EndpointId id = {};
   std::string health_path = {};
+  EndpointStart started_at = {};
 };
 
 // Idle connections to endpoints, for one I/O thread. Counts the ones in use
@@ -33,9 +35,9 @@
 
   // An idle connection that is fit for a call, if there is one. Every Take is
   // followed by one Put or one Lose.
-  std::optional<Tcp::socket> Take(const SocketAddress& address, TimePoint now);
+  std::optional<Tcp::socket> Take(const EndpointTarget& target, TimePoint now);
   // The same with one that was used within `youngest` only.
-  std::optional<Tcp::socket> TakeYoung(const SocketAddress& address,
+  std::optional<Tcp::socket> TakeYoung(const EndpointTarget& target,
                                        Duration youngest,
                                        TimePoint now);
   // Gives back a connection whose last answer ended cleanly.
@@ -58,9 +60,16 @@
   struct Connections {
     std::vector<Idle> idle;
     std::size_t used = 0;
+    // Whose connections these are.
+    EndpointId id;
+    EndpointStart started_at;
+
+    bool BelongTo(const EndpointTarget& target) const {
+      return id == target.id && started_at == target.started_at;
+    }
   };
 
-  std::optional<Tcp::socket> TakeWithin(const SocketAddress& address,
+  std::optional<Tcp::socket> TakeWithin(const EndpointTarget& target,
                                         Duration longest,
                                         TimePoint now);
 
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -169,7 +169,7 @@
   const std::int64_t most =
       std::min(share_.most, std::max<std::int64_t>(part, 1));
   return EndpointTarget{spec.address, static_cast<std::size_t>(most), spec.id,
-                        health_path_};
+                        health_path_, spec.started_at};
 }
 
 std::vector<ServiceDispatcher::Placed> ServiceDispatcher::Resolve(
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -112,6 +112,44 @@
   CHECK(out.dispatches[0].endpoint == 5);
 }
 
+// A call goes to an endpoint that is taken for busy and failing, or for free
+// and warm, by what the process before it was. Under the same id and address it
+// has started again: it is empty, cold, and has refused nobody.
+TEST_CASE("what is known of a process does not hold for the one after it") {
+  Harness harness(4);
+  ServiceSpec service = MakeService(4);
+  CallOffer call = MakeCall(1, harness.now);
+  call.idempotent = false;
+  const Decisions out = harness.Offer(call);
+  REQUIRE(out.dispatches.size() == 1);
+  const EndpointIndex former = out.dispatches[0].endpoint;
+  const EndpointId id = harness.balancer.endpoint(former).id;
+  for (EndpointSpec& it : service.endpoints) {
+    if (it.id == id) {
+      it.started_at += milliseconds(1);
+    }
+  }
+  harness.balancer.SetService(service, 1, harness.now);
+  int known = 0;
+  for (const EndpointStatus& it :
+       harness.balancer.Status(harness.now).table.endpoints) {
+    if (it.id == id) {
+      ++known;
+      CHECK(it.own_in_flight == 0);
+      CHECK(it.report_age < Duration::zero());
+      CHECK(it.state == "starting");
+    }
+  }
+  CHECK(known == 1);
+  // The end of the call to the former process says nothing of the new one.
+  Decisions after;
+  harness.End(call, former, SendResult::kBroken, after);
+  for (const EndpointStatus& it :
+       harness.balancer.Status(harness.now).table.endpoints) {
+    CHECK(it.own_in_flight == 0);
+  }
+}
+
 TEST_CASE("a near endpoint goes first while it is as free as a far one") {
   for (int n = 0; n < 50; ++n) {
     Harness harness(8);
--- a/tests/proxy/test_endpoint_pool.cc
+++ b/tests/proxy/test_endpoint_pool.cc
@@ -38,7 +38,7 @@
   EndpointPool pool(seconds(4));
   const TimePoint now = Clock::now();
   for (int n = 0; n < 3; ++n) {
-    CHECK(!pool.Take(target.address, now));
+    CHECK(!pool.Take(target, now));
   }
   pool.Put(target, stage.Open(), now);
   CHECK(pool.idle(target.address) == 0);
@@ -46,7 +46,7 @@
   CHECK(pool.idle(target.address) == 1);
   pool.Put(target, stage.Open(), now);
   CHECK(pool.idle(target.address) == 2);
-  CHECK(pool.Take(target.address, now));
+  CHECK(pool.Take(target, now));
   CHECK(pool.idle(target.address) == 1);
 }
 
@@ -57,9 +57,9 @@
   const EndpointTarget target = stage.Target(2);
   EndpointPool pool(seconds(4));
   const TimePoint now = Clock::now();
-  pool.Take(target.address, now);
+  pool.Take(target, now);
   pool.Put(target, stage.Open(), now);
-  CHECK(!pool.Take(target.address, now + seconds(4)));
+  CHECK(!pool.Take(target, now + seconds(4)));
   pool.Put(target, stage.Open(), now + seconds(4));
   pool.Expire(now + seconds(7));
   CHECK(pool.idle(target.address) == 1);
@@ -67,6 +67,30 @@
   CHECK(pool.idle(target.address) == 0);
 }
 
+// A call waits for an answer until its deadline, and nobody knows whether it
+// ran. Its endpoint lost power and started again at the same address; the
+// connection from before is silent, and only looks like an idle one.
+TEST_CASE("connections to a process are not used for the one after it") {
+  PoolStage stage;
+  EndpointTarget target = stage.Target(4);
+  target.id = EndpointId("e1");
+  EndpointPool pool(seconds(4));
+  const TimePoint now = Clock::now();
+  pool.Take(target, now);
+  pool.Take(target, now);
+  pool.Put(target, stage.Open(), now);
+  CHECK(pool.idle(target.address) == 1);
+  EndpointTarget restarted = target;
+  restarted.started_at += std::chrono::milliseconds(1);
+  CHECK(!pool.Take(restarted, now));
+  CHECK(pool.idle(target.address) == 0);
+  // What was sent before the restart and ends now.
+  pool.Put(target, stage.Open(), now);
+  CHECK(pool.idle(target.address) == 0);
+  pool.Put(restarted, stage.Open(), now);
+  CHECK(pool.Take(restarted, now));
+}
+
 TEST_CASE("an endpoint's connections are shared by hosts and threads") {
   ServiceSpec service;
   service.id = ServiceId("dispatch");
