Published starts and foreign entries

Cause: the reader knew no start, so the word that an endpoint leaves held for the process after it, and a late write of a process that has ended replaced the entry of the one that lives. An entry that could not be read was refused without its id: the endpoint it had overwritten stayed in use as it was last read. A state that is not known counted as leaving, for good. Change: an entry of an earlier start is set aside, and counts once nothing has replaced it for 1.7 s (a heartbeat and some; below the two seconds of a drain), so that a wrong clock freezes nothing. An entry that cannot be used is an UnusableEndpoint: its endpoint gets no new work at once, its neighbours hold, and it is told once. Weighed: using the last good entry instead (calls would go to whatever an address nobody vouches for is by then).

--- a/fleet/published_source.h
+++ b/fleet/published_source.h
@@ -21,6 +21,16 @@
   bool operator==(const RemovedEndpoint&) const = default;
 };
 
+// An endpoint whose entry cannot be used: fields that are missing or of another
+// type, a state that is not known, bytes that are no value. Whoever wrote it, it
+// names nothing to send calls to, and the entry it replaced is gone.
+struct UnusableEndpoint {
+  EndpointId id;
+  Error error;
+
+  bool operator==(const UnusableEndpoint&) const = default;
+};
+
 // A value that could not be read; the last good one stays in force.
 struct UnreadableValue {
   Error error;
@@ -33,6 +43,7 @@
                                     RouteBookChange,
                                     PublishedEndpoint,
                                     RemovedEndpoint,
+                                    UnusableEndpoint,
                                     UnreadableValue>;
 
 struct PublishedItem {
--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -15,6 +15,9 @@
 // is worth more than the book. A peer is behind by one or two as a rule; more
 // come where changes follow each other within a second.
 constexpr std::size_t kMostBookSteps = 8;
+// Endpoints whose refusal is remembered; all are forgotten beyond, and are told
+// once more. Many times what one mistaken writer leaves in a store.
+constexpr std::size_t kMostRefused = 4096;
 constexpr std::size_t kLargestStepPart = 4;
 
 }  // namespace
@@ -68,7 +71,10 @@
     TakeRoutesChange(*change, item.revision);
   } else if (const auto* endpoint =
                  std::get_if<PublishedEndpoint>(&item.value)) {
-    TakeEndpoint(*endpoint, item.revision);
+    TakeEndpoint(*endpoint, item.revision, now);
+  } else if (const auto* unusable =
+                 std::get_if<UnusableEndpoint>(&item.value)) {
+    TakeUnusable(*unusable, item.revision);
   } else if (const auto* removed = std::get_if<RemovedEndpoint>(&item.value)) {
     const auto it = endpoints_.find(removed->id);
     const bool is_known = it != endpoints_.end();
@@ -78,7 +84,31 @@
     }
     Remember(removed->id, item.revision);
   } else {
-    refused_.push_back(std::get<UnreadableValue>(item.value).error);
+    const Error& error = std::get<UnreadableValue>(item.value).error;
+    if (refused_book_ != error) {
+      refused_book_ = error;
+      refused_.push_back(error);
+    }
+  }
+}
+
+// The store still has a value under the id, so its lease has not run out: there
+// is no grace as for an entry that is missing after an outage.
+void PublishedView::TakeUnusable(const UnusableEndpoint& unusable,
+                                 Revision revision) {
+  const auto it = endpoints_.find(unusable.id);
+  if (it != endpoints_.end() && it->second.revision <= revision) {
+    endpoints_.erase(it);
+    changed_ = true;
+  }
+  Remember(unusable.id, revision);
+  if (refused_endpoints_.size() >= kMostRefused) {
+    refused_endpoints_.clear();
+  }
+  Revision& told = refused_endpoints_[unusable.id];
+  if (told < revision) {
+    told = revision;
+    refused_.push_back(unusable.error);
   }
 }
 
@@ -158,7 +188,8 @@
 }
 
 void PublishedView::TakeEndpoint(const PublishedEndpoint& endpoint,
-                                 Revision revision) {
+                                 Revision revision,
+                                 TimePoint now) {
   const auto removed = removed_.find(endpoint.spec.id);
   if (removed != removed_.end() && removed->second >= revision) {
     return;
@@ -168,10 +199,22 @@
     return;
   }
   entry.revision = revision;
-  // Under one id an endpoint that leaves never comes back: a newer entry that
-  // says so is a late write.
+  if (endpoint.spec.started_at < entry.endpoint.spec.started_at) {
+    SetAsideEarlierStart(entry, endpoint, now);
+    return;
+  }
+  PutInForce(entry, endpoint);
+}
+
+void PublishedView::PutInForce(Entry& entry,
+                               const PublishedEndpoint& endpoint) {
+  entry.earlier_start.reset();
+  // A process that leaves never comes back: a newer entry that says so is a
+  // late write. Another process under its id may serve.
+  const EndpointSpec& known = entry.endpoint.spec;
   PublishedEndpoint taken = endpoint;
-  if (entry.endpoint.spec.state == ListedState::kLeaving) {
+  if (known.state == ListedState::kLeaving &&
+      known.started_at == taken.spec.started_at) {
     taken.spec.state = ListedState::kLeaving;
   }
   if (entry.missing_since || entry.endpoint != taken) {
@@ -181,6 +224,21 @@
   }
 }
 
+// The entry shows that somebody writes under the id, so it is missing no more.
+void PublishedView::SetAsideEarlierStart(Entry& entry,
+                                         const PublishedEndpoint& endpoint,
+                                         TimePoint now) {
+  changed_ = changed_ || entry.missing_since.has_value();
+  entry.missing_since.reset();
+  if (entry.earlier_start == endpoint) {
+    return;
+  }
+  if (!entry.earlier_start) {
+    entry.earlier_start_since = now;
+  }
+  entry.earlier_start = endpoint;
+}
+
 void PublishedView::Miss(const EndpointId& id,
                          bool after_outage,
                          TimePoint now) {
@@ -204,14 +262,26 @@
            now - *it.second.missing_since >= kMissingGrace;
   });
   changed_ = changed_ || gone > 0;
+  for (auto& [id, entry] : endpoints_) {
+    const bool stays = entry.earlier_start &&
+                       now - entry.earlier_start_since >= kEarlierStartGrace;
+    if (stays) {
+      PutInForce(entry, PublishedEndpoint(*entry.earlier_start));
+    }
+  }
 }
 
 std::optional<TimePoint> PublishedView::NextChange() const {
   std::optional<TimePoint> next;
+  const auto add = [&](TimePoint due) {
+    next = next ? std::min(*next, due) : due;
+  };
   for (const auto& [id, entry] : endpoints_) {
     if (entry.missing_since) {
-      const TimePoint due = *entry.missing_since + kMissingGrace;
-      next = next ? std::min(*next, due) : due;
+      add(*entry.missing_since + kMissingGrace);
+    }
+    if (entry.earlier_start) {
+      add(entry.earlier_start_since + kEarlierStartGrace);
     }
   }
   return next;
@@ -231,8 +301,13 @@
   changes.current = revision_;
   AddRoutesAfter(after, changes);
   for (const auto& [id, entry] : endpoints_) {
-    if (entry.revision > after && !entry.missing_since) {
-      changes.items.push_back({entry.revision, entry.endpoint});
+    if (entry.revision <= after || entry.missing_since) {
+      continue;
+    }
+    changes.items.push_back({entry.revision, entry.endpoint});
+    // Each host waits by itself whether it stays.
+    if (entry.earlier_start) {
+      changes.items.push_back({entry.revision, *entry.earlier_start});
     }
   }
   for (const auto& [id, revision] : removed_) {
--- a/fleet/published_view.h
+++ b/fleet/published_view.h
@@ -21,6 +21,13 @@
   // within two seconds of the store's return. Long enough for most of these,
   // short enough that one which is gone gets no calls for long.
   static constexpr Duration kMissingGrace = std::chrono::milliseconds(1500);
+  // A newer entry of an earlier start under the same id counts only if nothing
+  // has replaced it for this long. It is a late write of a process that has
+  // ended, as a rule, and the one that lives writes again within its heartbeat
+  // of 1.5 s; but a process whose clock is wrong must not be left out for good.
+  // Below the two seconds in which an endpoint that leaves must get no calls.
+  static constexpr Duration kEarlierStartGrace =
+      std::chrono::milliseconds(1700);
 
   // A whole read. Endpoints that it lacks are removed; where the store was out
   // of reach before it, only after kMissingGrace.
@@ -50,7 +57,7 @@
   // Whether a change of a book came since the last call that is not the next
   // one to the book held here: the whole book has to be asked for.
   bool TakeMissesBook();
-  // Values refused since the last call.
+  // Values refused since the last call, each once however often it is read.
   std::vector<Error> TakeRefused();
 
  private:
@@ -58,6 +65,9 @@
     PublishedEndpoint endpoint;
     Revision revision = 0;
     std::optional<TimePoint> missing_since;
+    // A newer entry of an earlier start, and since when nothing replaced it.
+    std::optional<PublishedEndpoint> earlier_start;
+    TimePoint earlier_start_since;
   };
 
   void Take(const PublishedItem& item, bool after_outage, TimePoint now);
@@ -65,7 +75,14 @@
   void TakeRoutesChange(const RouteBookChange& change, Revision revision);
   void RememberStep(const RouteBook& book, Revision revision);
   void AddRoutesAfter(Revision after, PublishedItems& out) const;
-  void TakeEndpoint(const PublishedEndpoint& endpoint, Revision revision);
+  void TakeEndpoint(const PublishedEndpoint& endpoint,
+                    Revision revision,
+                    TimePoint now);
+  void TakeUnusable(const UnusableEndpoint& unusable, Revision revision);
+  void PutInForce(Entry& entry, const PublishedEndpoint& endpoint);
+  void SetAsideEarlierStart(Entry& entry,
+                            const PublishedEndpoint& endpoint,
+                            TimePoint now);
   void Remember(const EndpointId& removed, Revision revision);
   void Miss(const EndpointId& id, bool after_outage, TimePoint now);
 
@@ -89,6 +106,9 @@
   // From which revision on `removed_` names all removals.
   std::optional<Revision> complete_after_;
   std::vector<Error> refused_;
+  // The last revision that was refused, so that it is told once.
+  std::map<EndpointId, Revision> refused_endpoints_;
+  std::optional<Error> refused_book_;
   Revision revision_ = 0;
   bool changed_ = false;
 };
--- a/tests/platform/test_kv_client.cc
+++ b/tests/platform/test_kv_client.cc
@@ -171,7 +171,8 @@
   CHECK(all.current == 8);
   REQUIRE(all.items.size() == 7);
   const auto unreadable = std::ranges::count_if(all.items, [](const auto& it) {
-    return std::holds_alternative<UnreadableValue>(it.value);
+    return std::holds_alternative<UnusableEndpoint>(it.value) &&
+           std::get<UnusableEndpoint>(it.value).id == EndpointId("bad");
   });
   CHECK(unreadable == 1);
 }
