--- /dev/null
+++ b/bench/load_experiment_bench.cc
@@ -0,0 +1,283 @@
+// Plays scenarios of load against policies side by side, on the same arrivals,
+// and tells how far each is from an oracle.
+//
+//   load_experiment_bench --scenarios bench/scenarios/knee.json --seeds 5
+//   load_experiment_bench --set on_time_margin=1.3 --csv before.csv
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <cmath>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "core/json_reader.h"
+#include "policy/measured_balancer.h"
+#include "standin/load_emulator.h"
+
+namespace damasktack {
+namespace {
+
+namespace po = boost::program_options;
+using std::chrono::hours;
+using std::chrono::microseconds;
+
+struct Scenario {
+  std::string name;
+  EmulatedService service;
+  EmulatedLoad load;
+};
+
+void ReadInt(JsonReader& reader, std::string_view key, int& out) {
+  std::int64_t value = out;
+  reader.ReadOptional(key, value, 0, 1'000'000);
+  out = static_cast<int>(value);
+}
+
+leaf::result<void> ReadService(const Json& json, EmulatedService& out) {
+  JsonReader reader(json, "service");
+  ReadInt(reader, "endpoints", out.endpoints);
+  ReadInt(reader, "slots", out.slots);
+  ReadInt(reader, "queue", out.queue);
+  ReadInt(reader, "zones", out.zones);
+  reader.ReadOptional("work", out.work, microseconds(1), hours(1));
+  reader.ReadOptional("work_spread", out.work_spread, 0, 3);
+  reader.ReadOptional("knee", out.knee, 0, 1);
+  reader.ReadOptional("knee_factor", out.knee_factor, 1, 100);
+  reader.ReadOptional("slow_part", out.slow_part, 0, 1);
+  reader.ReadOptional("slow_factor", out.slow_factor, 1, 100);
+  reader.ReadOptional("slow_for", out.slow_for, microseconds(1), hours(1));
+  reader.ReadOptional("shed_part", out.shed_part, 0, 1);
+  return reader.Finish();
+}
+
+leaf::result<void> ReadLoad(const Json& json, EmulatedLoad& out) {
+  JsonReader reader(json, "load");
+  ReadInt(reader, "hosts", out.hosts);
+  ReadInt(reader, "caller_retries", out.caller_retries);
+  reader.ReadOptional("calls_per_second", out.calls_per_second, 0.1, 1e6);
+  reader.ReadOptional("middle_factor", out.middle_factor, 0, 100);
+  reader.ReadOptional("objective", out.objective, microseconds(1), hours(1));
+  reader.ReadOptional("deadline", out.deadline, microseconds(1), hours(1));
+  reader.ReadOptional("length", out.length, microseconds(1), hours(1));
+  return reader.Finish();
+}
+
+leaf::result<Scenario> ReadScenario(const Json& json) {
+  Scenario scenario;
+  JsonReader reader(json, "scenario");
+  reader.Read("name", scenario.name);
+  const Json* service = reader.OptionalObject("service");
+  const Json* load = reader.OptionalObject("load");
+  BOOST_LEAF_CHECK(reader.Finish());
+  if (service != nullptr) {
+    BOOST_LEAF_CHECK(ReadService(*service, scenario.service));
+  }
+  if (load != nullptr) {
+    BOOST_LEAF_CHECK(ReadLoad(*load, scenario.load));
+  }
+  return scenario;
+}
+
+leaf::result<std::vector<Scenario>> ReadScenarios(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  BOOST_LEAF_AUTO(json, ParseJson(text.str(), path));
+  if (!json.is_array()) {
+    return Fail(ErrorKind::kWrongType, path, "something else than a list",
+                "write a list of scenarios in brackets");
+  }
+  std::vector<Scenario> scenarios;
+  for (const Json& it : json) {
+    BOOST_LEAF_AUTO(scenario, ReadScenario(it));
+    scenarios.push_back(std::move(scenario));
+  }
+  return scenarios;
+}
+
+struct Policy {
+  std::string name;
+  BalancerFactory make;
+};
+
+// Probes nothing, so that it goes by its own calls and what answers tell.
+MeasuredBalancerOptions WithoutProbes(MeasuredBalancerOptions options) {
+  options.probe_limit = 0;
+  options.probe_burst = 0;
+  return options;
+}
+
+Policy MakeMeasured(std::string name,
+                    MeasuredBalancerOptions options,
+                    int zones) {
+  return {std::move(name), [options, zones](int host, std::uint64_t seed) {
+            MeasuredBalancerOptions own = options;
+            own.host = HostId("h" + std::to_string(host));
+            own.zone = ZoneId(std::to_string(host % zones));
+            return std::make_unique<MeasuredBalancer>(own, seed);
+          }};
+}
+
+std::vector<Policy> MakePolicies(const MeasuredBalancerOptions& options,
+                                 int zones) {
+  return {{"oracle", [](int, std::uint64_t) { return nullptr; }},
+          MakeMeasured("measured", options, zones),
+          MakeMeasured("own-calls", WithoutProbes(options), zones)};
+}
+
+leaf::result<void> Set(const std::string& text,
+                       MeasuredBalancerOptions& options) {
+  const std::size_t equals = text.find('=');
+  const std::string name = text.substr(0, equals);
+  const std::string value =
+      equals == std::string::npos ? "" : text.substr(equals + 1);
+  char* end = nullptr;
+  const double number = std::strtod(value.c_str(), &end);
+  const auto ms = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(number));
+  const bool is_number = !value.empty() && *end == '\0';
+  if (is_number && name == "on_time_margin") {
+    options.on_time_margin = number;
+  } else if (is_number && name == "held_part") {
+    options.held_part = number;
+  } else if (is_number && name == "good_pace") {
+    options.good_pace = number;
+  } else if (is_number && name == "other_zone") {
+    options.preference.other_zone = number;
+  } else if (is_number && name == "first_probes") {
+    options.first_probes = static_cast<std::size_t>(number);
+  } else if (is_number && name == "fresh_ms") {
+    options.fresh = ms;
+  } else if (is_number && name == "memory_ms") {
+    options.memory = ms;
+  } else {
+    return Fail(ErrorKind::kOutOfRange, "--set", text,
+                "set one of on_time_margin, held_part, good_pace, other_zone, "
+                "first_probes, fresh_ms, memory_ms to a number");
+  }
+  return {};
+}
+
+struct Mean {
+  std::vector<double> values;
+
+  double value() const {
+    double sum = 0;
+    for (const double it : values) {
+      sum += it;
+    }
+    return sum / static_cast<double>(values.size());
+  }
+  // Standard error.
+  double error() const {
+    if (values.size() < 2) {
+      return 0;
+    }
+    double squares = 0;
+    for (const double it : values) {
+      squares += (it - value()) * (it - value());
+    }
+    const auto n = static_cast<double>(values.size());
+    return std::sqrt(squares / (n - 1) / n);
+  }
+};
+
+void PlayScenario(const Scenario& scenario,
+                  const MeasuredBalancerOptions& options,
+                  std::uint64_t seeds,
+                  std::ostream& csv) {
+  std::vector<double> ceiling;
+  for (const Policy& policy : MakePolicies(options, scenario.service.zones)) {
+    Mean worth;
+    Mean served;
+    Mean regret;
+    double probes = 0;
+    double crossings = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+      const EmulatedFigures figures =
+          LoadEmulator(scenario.service, scenario.load, policy.make, seed)
+              .Run();
+      const auto calls = static_cast<double>(figures.calls);
+      worth.values.push_back(figures.Worth());
+      served.values.push_back(figures.Served());
+      if (policy.name == "oracle") {
+        ceiling.push_back(figures.Worth());
+      }
+      regret.values.push_back(ceiling[seed - 1] - figures.Worth());
+      probes += static_cast<double>(figures.probes) / calls / seeds;
+      crossings +=
+          static_cast<double>(figures.other_zone_sends) / calls / seeds;
+      csv << scenario.name << ',' << policy.name << ',' << seed << ','
+          << figures.Worth() << ',' << figures.Served() << ',' << figures.calls
+          << ',' << figures.on_time << ',' << figures.late << ','
+          << figures.refused << ',' << figures.failed << ',' << figures.probes
+          << ',' << figures.other_zone_sends << '\n';
+    }
+    std::printf("%-15s %-10s %7.4f %6.4f %7.4f %7.4f %6.4f %7.2f %9.2f\n",
+                scenario.name.c_str(), policy.name.c_str(), worth.value(),
+                worth.error(), served.value(), regret.value(), regret.error(),
+                probes, crossings);
+  }
+}
+
+leaf::result<void> Run(const po::variables_map& arguments) {
+  MeasuredBalancerOptions options;
+  for (const std::string& it :
+       arguments["set"].as<std::vector<std::string>>()) {
+    BOOST_LEAF_CHECK(Set(it, options));
+  }
+  BOOST_LEAF_AUTO(scenarios,
+                  ReadScenarios(arguments["scenarios"].as<std::string>()));
+  std::ofstream csv(arguments["csv"].as<std::string>());
+  csv << "scenario,policy,seed,worth,served,calls,on_time,late,refused,failed,"
+         "probes,other_zone\n";
+  std::printf("%-15s %-10s %7s %6s %7s %7s %6s %7s %9s\n", "scenario", "policy",
+              "worth", "+-", "served", "regret", "+-", "probes", "crossings");
+  for (const Scenario& it : scenarios) {
+    PlayScenario(it, options, arguments["seeds"].as<std::uint64_t>(), csv);
+  }
+  return {};
+}
+
+int Main(int argc, char** argv) {
+  po::options_description described("load_experiment_bench");
+  described.add_options()("help", "this text")(
+      "scenarios",
+      po::value<std::string>()->default_value("bench/scenarios/knee.json"),
+      "file with the loads to play")(
+      "seeds", po::value<std::uint64_t>()->default_value(3),
+      "seeds 1 to this one, each for every policy")(
+      "csv", po::value<std::string>()->default_value("/dev/null"),
+      "one line for each play")(
+      "set", po::value<std::vector<std::string>>()->default_value({}, ""),
+      "NAME=VALUE of the measured policy; may be repeated");
+  po::variables_map arguments;
+  try {
+    po::store(po::parse_command_line(argc, argv, described), arguments);
+  } catch (const po::error& problem) {
+    std::cerr << problem.what() << "; see --help\n";
+    return 2;
+  }
+  po::notify(arguments);
+  if (arguments.count("help") > 0) {
+    std::cout << described;
+    return 0;
+  }
+  const std::optional<Error> fault = FaultOf([&] { return Run(arguments); });
+  if (fault) {
+    std::cerr << ToString(*fault) << "\n";
+    return 1;
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace damasktack
+
+int main(int argc, char** argv) {
+  return damasktack::Main(argc, argv);
+}
--- a/misc/scripts/measure_days.py
+++ b/misc/scripts/measure_days.py
@@ -39,7 +39,7 @@
         "refused": report["refused"],
         "failed": report["failed"],
         "windows": windows[0] if windows else "",
-        "prices": round(sum(it[2] for it in report["prices"]), 4),
+        "prices": round(sum(it[2] or 0 for it in report["prices"]), 4),
         "broken": " ".join(report["breaks"]) or (report["fault"] or ""),
     }
 
--- /dev/null
+++ b/policy/execution_profile.cc
@@ -0,0 +1,60 @@
+#include "policy/execution_profile.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "policy/scaled_time.h"
+
+namespace damasktack {
+
+namespace {
+
+// Moves by a small step towards each answer, and so towards their median: a
+// mean would follow the few that took several times as long.
+constexpr double kStep = 0.03;
+// The first quarter of the slots whose slowdown is learnt.
+constexpr std::size_t kFirstLearnt = 2;
+// No server is believed to slow down by more; what goes beyond moves the usual
+// time, as it does where an endpoint has a single slot.
+constexpr double kMostSlowdown = 4;
+
+double StepTowards(double value, double sample) {
+  return value * (sample > value ? 1 + kStep : 1 - kStep);
+}
+
+}  // namespace
+
+void ExecutionProfile::Guess(Duration usual) {
+  usual_ = usual;
+}
+
+std::size_t ExecutionProfile::PartOf(double fill) {
+  const double parts = std::ceil(std::min(fill, 1.0) * kParts);
+  return static_cast<std::size_t>(std::max(parts, 1.0)) - 1;
+}
+
+void ExecutionProfile::OnExecution(double fill, Duration took) {
+  if (fill > 1 || !is_known()) {
+    return;
+  }
+  const std::size_t part = PartOf(fill);
+  const double longer =
+      static_cast<double>(took.count()) / static_cast<double>(usual_.count());
+  const bool is_beyond = slowdown_[part] >= kMostSlowdown || longer < 1;
+  const bool tells_of_usual = part < kFirstLearnt || is_beyond;
+  if (tells_of_usual) {
+    usual_ = Scaled(usual_, StepTowards(1, longer / slowdown_[part]));
+  }
+  if (part >= kFirstLearnt) {
+    slowdown_[part] =
+        std::clamp(StepTowards(slowdown_[part], longer), 1.0, kMostSlowdown);
+  }
+}
+
+double ExecutionProfile::Slowdown(double fill) const {
+  const auto end =
+      slowdown_.begin() + static_cast<std::ptrdiff_t>(PartOf(fill)) + 1;
+  return *std::max_element(slowdown_.begin(), end);
+}
+
+}  // namespace damasktack
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "policy/scaled_time.h"
 #include "policy/slow_start.h"
 
 namespace damasktack {
@@ -15,8 +16,6 @@
 // Part of the time left that an execution is taken for, before the first
 // answer tells.
 constexpr int kFirstGuess = 3;
-// How far one answer moves the usual time.
-constexpr double kTimeStep = 0.03;
 // An endpoint that has just started works up to twice as long. After its first
 // call, which warms it, a host prefers others that are as free.
 constexpr double kColdCost = 1.35;
@@ -34,8 +33,6 @@
 // A probe that failed within this makes an endpoint the last choice.
 constexpr Duration kProbeFailureHolds = std::chrono::milliseconds(800);
 constexpr double kProbeFailureCost = 8;
-// Work slows down a little as an endpoint fills up.
-constexpr double kFullCost = 0.15;
 // Answers without a report after which an endpoint's service is taken to have
 // none.
 constexpr std::uint64_t kSilentAnswers = 8;
@@ -49,12 +46,6 @@
   return record.estimate.own_in_flight() > 0 || record.health.ever_ended();
 }
 
-Duration Scaled(Duration time, double factor) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::nano>(
-          static_cast<double>(time.count()) * factor));
-}
-
 }  // namespace
 
 MeasuredBalancer::MeasuredBalancer(MeasuredBalancerOptions options,
@@ -160,18 +151,18 @@
   if (measure.FailedSince(now - kProbeFailureHolds)) {
     pace *= kProbeFailureCost;
   }
+  it.pace = pace;
   const double queued = std::max(0.0, it.calls + 1 - record.slots);
-  const double filled = std::min(1.0, it.calls / record.slots);
-  const double work =
-      pace * (1 + kFullCost * filled) + pace * queued / record.slots;
-  it.finish = Scaled(usual_time_, work);
+  const double slowdown = profile_.Slowdown(it.FillWithOne());
+  const double work = pace * slowdown * (1 + queued / record.slots);
+  it.finish = Scaled(profile_.usual(), work);
   // One that fails or refuses more than the others comes after them; what it
   // does take ends no later for that.
   const double disfavour = 1 + record.penalty;
   it.cost = Scaled(it.finish, disfavour);
-  it.cost += Scaled(usual_time_, preference_.Cost(index));
-  it.is_good =
-      it.is_fresh && queued == 0 && pace * disfavour <= options_.good_pace;
+  it.cost += Scaled(profile_.usual(), preference_.Cost(index));
+  it.is_good = it.is_fresh && queued == 0 &&
+               pace * slowdown * disfavour <= options_.good_pace;
   return it;
 }
 
@@ -342,8 +333,9 @@
 }
 
 void MeasuredBalancer::Admit(WaitingCall call, TimePoint now, Decisions& out) {
-  if (usual_time_ == Duration::zero()) {
-    usual_time_ = (call.offer.on_time_until - call.offer.arrival) / kFirstGuess;
+  if (!profile_.is_known()) {
+    profile_.Guess((call.offer.on_time_until - call.offer.arrival) /
+                   kFirstGuess);
   }
   queue_.Add(std::move(call), out.rejections);
   Pump(now, out);
@@ -407,6 +399,7 @@
                             TimePoint now,
                             Decisions& out) {
   out.dispatches.push_back({call.offer.token, best.index, BasisOf(best, now)});
+  sent_[call.offer.token] = {best.FillWithOne(), best.pace, best.is_fresh};
   roster_.record(best.index).estimate.OnSend();
   measures_[best.index].OnSend();
   if (!call.avoid) {
@@ -431,7 +424,9 @@
   // Slowness shows in the reports; compared between endpoints it would only
   // eject whoever is slow for half a second.
   roster_.OnSendEnd(end.endpoint, end.result, 1, now);
-  Learn(end);
+  if (const auto sent = sent_.extract(end.token)) {
+    Learn(end, sent.mapped());
+  }
   retries_.OnSendEnd(end.result);
   if (!MayRetry(offer, end, now)) {
     Pump(now, out);
@@ -448,17 +443,12 @@
   return RetryAfter(offer, Best(call, Among::kAll, now), now);
 }
 
-void MeasuredBalancer::Learn(const SendEnd& end) {
-  if (end.result != SendResult::kAnswered) {
-    return;
-  }
-  if (end.report && end.report->pace > options_.good_pace) {
-    return;
+void MeasuredBalancer::Learn(const SendEnd& end, const SentCall& sent) {
+  const bool was_slow = sent.pace > options_.good_pace ||
+                        (end.report && end.report->pace > options_.good_pace);
+  if (end.result == SendResult::kAnswered && sent.is_fresh && !was_slow) {
+    profile_.OnExecution(sent.fill, end.took);
   }
-  // Moves by a small step towards each answer, and so towards their median: a
-  // mean would follow the few that took several times as long.
-  const double step = end.took > usual_time_ ? 1 + kTimeStep : 1 - kTimeStep;
-  usual_time_ = Scaled(usual_time_, step);
 }
 
 bool MeasuredBalancer::MayRetry(const CallOffer& offer,
@@ -471,7 +461,7 @@
   const int most_sends = offer.most_sends > 0
                              ? std::min(offer.most_sends, options_.most_sends)
                              : options_.most_sends;
-  if (end.sends >= most_sends || now + usual_time_ >= offer.deadline) {
+  if (end.sends >= most_sends || now + profile_.usual() >= offer.deadline) {
     return false;
   }
   if (retries_.IsFutile(end.result) ||
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -2,6 +2,7 @@
 #define POLICY_MEASURED_BALANCER_H_
 
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 #include "core/random.h"
@@ -11,6 +12,7 @@
 #include "policy/endpoint_measure.h"
 #include "policy/endpoint_preference.h"
 #include "policy/endpoint_roster.h"
+#include "policy/execution_profile.h"
 #include "policy/retry_budget.h"
 
 namespace damasktack {
@@ -123,8 +125,18 @@
     Duration cost{};
     double calls = 0;
     double slots = 1;
+    double pace = 1;
     bool is_fresh = false;
     bool is_good = false;
+
+    // The part of the slots that is in use with one more call.
+    double FillWithOne() const { return (calls + 1) / slots; }
+  };
+  // What was believed of the endpoint when a call was sent there.
+  struct SentCall {
+    double fill = 0;
+    double pace = 1;
+    bool is_fresh = false;
   };
   // Whether also endpoints count of which only what is usual is known.
   enum class Among : std::uint8_t { kAll, kFresh };
@@ -173,7 +185,7 @@
   void OnReport(EndpointIndex endpoint,
                 const EndpointReport& report,
                 TimePoint now);
-  void Learn(const SendEnd& end);
+  void Learn(const SendEnd& end, const SentCall& sent);
   void WatchUsable(TimePoint now);
   void ShareProbes(std::size_t endpoints, std::int64_t hosts, TimePoint now);
   void DrawPreference();
@@ -192,8 +204,9 @@
   TokenBucket probe_budget_;
   // To be probed as soon as the owner asks.
   std::vector<EndpointIndex> wanted_probes_;
-  // Mean time of an execution at the usual pace; zero before the first.
-  Duration usual_time_{};
+  ExecutionProfile profile_;
+  // Calls at endpoints.
+  std::unordered_map<CallToken, SentCall> sent_;
   std::optional<TimePoint> unusable_since_;
   std::optional<TimePoint> first_list_at_;
   // Whether endpoints report at all, by the probes and answers so far.
