--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -10,6 +10,7 @@
 
 #include "policy/call_outcome.h"
 #include "policy/target_choice.h"
+#include "proxy/call_terms.h"
 #include "proxy/header_rewrite.h"
 #include "proxy/request_check.h"
 
@@ -18,7 +19,6 @@
 namespace {
 
 constexpr std::int64_t kDeepest = 32;
-constexpr std::int64_t kMostAttempts = 1000;
 constexpr std::chrono::milliseconds kLeastTimeToSend(1);
 // A host that has just started, or woke, is back within this time as a rule.
 constexpr std::chrono::milliseconds kUntilCurrent(150);
@@ -27,10 +27,6 @@
 // The part of the caller's time that such a wait may take: enough is left to
 // try another host.
 constexpr int kPartForCurrent = 3;
-// An answer has to reach its caller before the caller's deadline, which began
-// before the request arrived: both ways, with some room.
-constexpr std::chrono::milliseconds kWayBack(10);
-
 std::string MakeCallId() {
   thread_local Random random(std::random_device{}());
   std::array<char, 16> buf{};
@@ -39,13 +35,6 @@
   return {buf.data(), end};
 }
 
-// What a caller allows by its own header; without one, any time.
-Duration AskedTime(const http::fields& request, const ProtocolNames& names) {
-  constexpr std::int64_t kMostMs = 24LL * 3600 * 1000;
-  const auto asked = ReadNumber(request, names.deadline).value_or(kMostMs);
-  return std::chrono::milliseconds(std::min(asked, kMostMs));
-}
-
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
@@ -214,43 +203,6 @@
   co_return placement;
 }
 
-void CallHandler::FillOffer(const Contract& contract,
-                            const RequestClass& request_class,
-                            const HttpRequest& request) {
-  Duration allowed = request_class.deadline;
-  allowed = std::min(allowed, AskedTime(request, names()));
-  offer_.customer = contract.customer;
-  offer_.share = contract.share;
-  offer_.urgency = request_class.urgency;
-  offer_.when_short = contract.when_short;
-  offer_.waiting_limit = contract.limits.waiting_per_host;
-  offer_.idempotent = request_class.idempotent;
-  offer_.retry_percent = contract.retry_percent;
-  // A repeat by an earlier hop keeps its number, so that each hop after it
-  // knows not to repeat it once more.
-  const auto attempt = ReadNumber(request, names().attempt).value_or(1);
-  offer_.is_repeat = attempt > 1;
-  attempt_ = std::clamp<std::int64_t>(attempt, 1, kMostAttempts) - 1;
-  offer_.deadline = offer_.arrival + allowed;
-  offer_.on_time_until = offer_.deadline;
-}
-
-void CallHandler::FillOffer(const Route& route, const HttpRequest& request) {
-  const Contract& contract = route.contract;
-  offer_.customer = contract.customer;
-  offer_.share = contract.share;
-  offer_.urgency = route.urgency;
-  offer_.when_short = contract.when_short;
-  offer_.waiting_limit = contract.limits.waiting_per_host;
-  offer_.idempotent = route.idempotent;
-  offer_.retry_percent = contract.retry_percent;
-  offer_.most_sends = route.most_sends;
-  const Duration asked = AskedTime(request, names());
-  offer_.deadline = offer_.arrival + std::min(route.timeout, asked - kWayBack);
-  offer_.on_time_until =
-      std::min(offer_.deadline, offer_.arrival + route.latency_objective);
-}
-
 // False where this host does not get to know in time what is in force. A caller
 // that is refused by a starting host has used up its retry: after a loss of
 // power of a whole fleet with a large route book, hosts refused all calls for
@@ -295,7 +247,7 @@
     co_return Ending::NotRun(MakeFailure(FailureKind::kNoRoute));
   }
   contract_ = &route->contract;
-  FillOffer(*route, request);
+  FillOffer(*route, request, names(), offer_);
   thread_local Random random(std::random_device{}());
   const ServiceId& target = ChooseTarget(*route, random);
   service_ = routing_->FindServiceById(target);
@@ -323,7 +275,8 @@
   if (!request_class) {
     co_return Ending::NotRun(MakeFailure(FailureKind::kNotInContract));
   }
-  FillOffer(*contract_, *request_class, request);
+  FillOffer(*contract_, *request_class, request, names(), offer_);
+  attempt_ = AttemptsBefore(request, names());
   if (ReadNumber(request, names().depth).value_or(0) >= kDeepest) {
     co_return Ending::NotRun(MakeFailure(FailureKind::kTooDeep));
   }
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -48,10 +48,6 @@
   HttpResponse Render(const HttpRequest& request, Ending ending);
   // Leaves a line where the call did not simply succeed.
   void Log(const Ending& ending, TimePoint now);
-  void FillOffer(const Contract& contract,
-                 const RequestClass& request_class,
-                 const HttpRequest& request);
-  void FillOffer(const Route& route, const HttpRequest& request);
   const ProtocolNames& names() const { return state_.options().names; }
 
   ProxyState& state_;
