--- a/tests/standin/test_load_emulator.cc
+++ b/tests/standin/test_load_emulator.cc
@@ -68,7 +68,9 @@
   EmulatedLoad load;
   load.middle_factor = 1.7;
   const EmulatedFigures figures = Play(service, load, Measured(service.zones));
-  CHECK(figures.Worth() > 0.80);
+  // 0.830 with a slowdown of 1.15 and calls held for 25 ms, 0.853 since.
+  CHECK(figures.Worth() > 0.842);
+  CHECK(figures.Served() > 0.90);
 }
 
 // The same with longer work on six slots, on which a queue that has built up
@@ -83,17 +85,18 @@
   load.calls_per_second = 300;
   load.objective = std::chrono::milliseconds(400);
   load.deadline = std::chrono::milliseconds(1200);
-  CHECK(Play(service, load, Measured(service.zones)).Worth() > 0.60);
+  // 0.663 before, 0.712 since.
+  CHECK(Play(service, load, Measured(service.zones)).Worth() > 0.69);
 }
 
 // Bytes between zones are billed. While the own zone's servers are free, hardly
-// one call in five has a reason to cross.
+// one call in ten has a reason to cross; one in four did.
 TEST_CASE("in a calm most calls stay in their zone") {
   const EmulatedService service;
   EmulatedLoad load;
   load.calls_per_second = 100;
   const EmulatedFigures figures = Play(service, load, Measured(service.zones));
-  CHECK(figures.other_zone_sends * 4 < figures.sends);
+  CHECK(figures.other_zone_sends * 6 < figures.sends);
   CHECK(figures.Worth() > 0.98);
 }
 
