--- a/fleet/published_source.h
+++ b/fleet/published_source.h
@@ -22,8 +22,8 @@
 };
 
 // An endpoint whose entry cannot be used: fields that are missing or of another
-// type, a state that is not known, bytes that are no value. Whoever wrote it, it
-// names nothing to send calls to, and the entry it replaced is gone.
+// type, a state that is not known, bytes that are no value. Whoever wrote it,
+// it names nothing to send calls to, and the entry it replaced is gone.
 struct UnusableEndpoint {
   EndpointId id;
   Error error;
