--- a/misc/scripts/make_days.py
+++ b/misc/scripts/make_days.py
@@ -1,8 +1,10 @@
 #!/usr/bin/env python3
-"""Writes bench/days/: one day for each kind of trouble, alone and in pairs.
+"""Writes deploy/days/: one day for each kind of trouble, alone and in pairs.
 
 Each file is a day in the format of the users' site files and fits any of
 them. Pairs are drawn with a fixed seed, so that the folder stays the same.
+Where a day names a kind of request, a service or a zone it takes the site's
+first one: @c0, @s0, @z0.
 """
 
 import pathlib
@@ -66,6 +68,36 @@
 }
 PLANNED = {"release", "scale_in", "scale_out", "roll_term", "config_change", "config_storm", "hup", "add_nodes"}
 PAIRS = 40
+# Endpoints that start again under their id, while the fleet or the store is in
+# trouble too.
+RESTARTS = [
+    ("srv_cut", 'share = 0.4, for_s = 5.0, how = "reborn"'),
+    ("node_cut", 'share = 0.4, for_s = 5.0, how = "servers reborn"'),
+    ("srv_flap", "share = 0.4, gap_s = 1.2, for_s = 12.0"),
+]
+# Around restarts, and around a store that fails some hosts: what stops, leaves
+# or passes its address on meanwhile.
+CHANGES = [
+    ("roll_term", 'share = 1.0, gap_s = 0.8, how = "busy"'),
+    ("release", "share = 0.8, x = 2.0, gap_s = 0.7"),
+    ("replace_with_reuse", 'share = 0.3, how = "drain"'),
+    ("scale_in", 'share = 0.3, how = "spot", x = 2.0'),
+    ("herd_kill", 'share = 0.7, how = "power", for_s = 2.0'),
+]
+STORE_TROUBLES = [
+    ("platform_down", 'share = 0.4, for_s = 9.0, how = "nodes many revoke meet drain"'),
+    ("platform_compact", 'x = 5.0, for_s = 10.0, how = "drain"'),
+    ("core_cut", 'count = 2, for_s = 6.0, how = "leader race"'),
+    ("platform_lost", 'x = 0.5, for_s = 8.0, how = "late"'),
+]
+# Aimed at the first of a site.
+AIMED = [
+    ("burst", 'x = 2.0, for_s = 6.0, class = "@c0"'),
+    ("srv_grey", 'share = 0.5, x = 0.6, for_s = 8.0, how = "shed", service = "@s0"'),
+    ("srv_slow", 'share = 0.5, x = 10.0, for_s = 8.0, service = "@s0"'),
+    ("lossy", 'x = 0.05, for_s = 8.0, zone = "@z0"'),
+    ("srv_crash", 'share = 0.5, for_s = 5.0, how = "dark", service = "@s0"'),
+]
 CLOSINGS = ['{ kind = "power_off_all", down_s = 1.5 }', '{ kind = "kill_all", down_s = 1.5 }']
 
 
@@ -83,14 +115,28 @@
     return "\n".join(lines)
 
 
+def write_combined(folder):
+    """One day for each pair of a restart or store trouble and a change, and the aimed ones."""
+    days = []
+    for first in RESTARTS + STORE_TROUBLES:
+        for second in CHANGES:
+            days.append((f"{first[0]}+{second[0]}", [(*first, 3.0), (*second, 4.5), (*first, 17.0), (*second, 18.5)]))
+    for kind, members in AIMED:
+        days.append((f"aimed-{kind}", [(kind, members, 4.0), (kind, members, 18.0)]))
+    for n, (name, rows) in enumerate(days):
+        entries = [(kind, entry(kind, members, at)) for kind, members, at in rows]
+        (folder / f"{name}.toml").write_text(day(name, 7000 + n, entries, CLOSINGS[n % 2] if n % 3 == 0 else None))
+
+
 def main():
-    folder = ROOT / "bench" / "days"
+    folder = ROOT / "deploy" / "days"
     folder.mkdir(parents=True, exist_ok=True)
     variants = [(kind, members) for kind, rows in KINDS.items() for members in rows]
     for n, (kind, members) in enumerate(variants):
         name = f"{kind}-{sum(1 for it in variants[:n] if it[0] == kind) + 1}"
         entries = [(kind, entry(kind, members, 4.0)), (kind, entry(kind, members, 18.0))]
         (folder / f"{name}.toml").write_text(day(name, 1000 + n, entries, None))
+    write_combined(folder)
     draw = random.Random(20261202)
     for n in range(PAIRS):
         chosen = draw.sample(variants, 4)
--- a/misc/scripts/play_days.sh
+++ b/misc/scripts/play_days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the days of bench/days on one deployment and prints those that break a rule.
+# Plays the days of deploy/days on one deployment and prints those that break a rule.
 #   misc/scripts/play_days.sh FLEETBENCH SITE [PATTERN] [JOBS]
 set -uo pipefail
 bench=$(realpath "$1")
@@ -9,7 +9,7 @@
 cd "$(dirname "$0")/../.."
 out=$(mktemp -d)
 "$bench" build > /dev/null
-printf '%s\n' bench/days/$pattern.toml | xargs -P "$jobs" -I{} sh -c \
+printf '%s\n' deploy/days/$pattern.toml | xargs -P "$jobs" -I{} sh -c \
   '"$1" run "$2" "$4" --why "own day" > "$3/$(basename "$4" .toml).txt" 2>&1' _ "$bench" "$site" "$out" {}
 played=0
 for it in "$out"/*.txt; do
