The feed at hundreds of hosts: rows, resync by ids, one encoding, few ask for all

Change: endpoints travel as rows (60 bytes at most), heartbeats that change nothing stay at the reader, one update is encoded once for all that have the same, a host with a copy is sent what changed and the ids of the rest. Seeds that ask in vain say so; the others then ask ten times a second together, and one that gets through reads for its seed. The link to the seed that feeds a host is kept. Seeds may change while hosts run.

Tests: the generated schedules now hold for published endpoints as for removed ones, with lapsed leases and warming endpoints (3,000 by hand); calls to a store that is away at 30 and 300 hosts; seeds that are turned away; resync; sizes. One test reads the start of an entry from its row instead of its object.

--- a/fleet/fleet_module.h
+++ b/fleet/fleet_module.h
@@ -25,14 +25,33 @@
     HostId to;
     PeerMessage message;
   };
+  // One message for several hosts, to be encoded once. A copy for each of the
+  // hosts that follow a seed took most of its memory.
+  struct Parcel {
+    std::vector<HostId> to;
+    PeerMessage message;
+  };
 
   void Send(HostId to, PeerMessage message) {
-    items_.push_back({std::move(to), std::move(message)});
+    SendToAll({std::move(to)}, std::move(message));
+  }
+  void SendToAll(std::vector<HostId> to, PeerMessage message) {
+    parcels_.push_back({std::move(to), std::move(message)});
+  }
+  std::vector<Parcel> TakeParcels() { return std::exchange(parcels_, {}); }
+  // Each host with a copy of its own.
+  std::vector<Item> Take() {
+    std::vector<Item> items;
+    for (const Parcel& parcel : TakeParcels()) {
+      for (const HostId& it : parcel.to) {
+        items.push_back({it, parcel.message});
+      }
+    }
+    return items;
   }
-  std::vector<Item> Take() { return std::exchange(items_, {}); }
 
  private:
-  std::vector<Item> items_;
+  std::vector<Parcel> parcels_;
 };
 
 // A part of the fleet's behaviour: a pure state machine that the fleet loop
--- a/fleet/peer_message.h
+++ b/fleet/peer_message.h
@@ -36,7 +36,8 @@
                                  ClaimSettle,
                                  ClaimSettled,
                                  FeedHello,
-                                 FeedUpdate>;
+                                 FeedUpdate,
+                                 FeedOutage>;
 
 }  // namespace damasktack
 
--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -36,10 +36,24 @@
 
 PublishedFeed::PublishedFeed(PublishedFeedOptions options,
                              std::uint64_t random_seed)
-    : options_(std::move(options)), random_(random_seed) {
+    : options_(std::move(options)),
+      random_(random_seed),
+      awaits_copy_(options_.early_read) {
+  FindRank();
+}
+
+void PublishedFeed::FindRank() {
   const auto own = std::ranges::find(options_.seeds, options_.address);
-  if (own != options_.seeds.end()) {
-    rank_ = own - options_.seeds.begin();
+  rank_ = own == options_.seeds.end() ? FeedHello::kNoSeed
+                                      : own - options_.seeds.begin();
+}
+
+void PublishedFeed::SetSeeds(std::vector<SocketAddress> seeds) {
+  options_.seeds = std::move(seeds);
+  FindRank();
+  // Peers have to hear of the new rank.
+  for (auto& [host, peer] : peers_) {
+    peer.is_greeted = false;
   }
 }
 
@@ -81,22 +95,21 @@
     next_call_ = now;
   }
   view_.Advance(now);
-  if (options_.early_read && !std::exchange(has_read_early_, true) &&
-      !confirmed_at_) {
+  if (awaits_copy_ && confirmed_at_) {
+    awaits_copy_ = false;
+  }
+  if (awaits_copy_ && !std::exchange(has_read_early_, true)) {
     ++counters_.reads;
     return {FeedStep::Kind::kReadAnyCopy, options_.start_patience};
   }
-  const bool reads =
-      rank_ == 0 || (!IsFed(now) && (reads_store_ || IsStale(now)));
+  const bool reads = ShouldRead(now);
   if (reads != reads_store_) {
     reads_store_ = reads;
-    is_synced_ = false;
-    backoff_ = Duration::zero();
-    next_call_ = now;
-    spdlog::info("event=store-reader reads={} rank={} revision={}", reads,
-                 rank_, view_.revision());
+    BeginReading(now);
   }
-  Duration wait = kLongestWait;
+  HoldToOutage(now);
+  Duration wait =
+      reads_store_ && lost_contact_ ? options_.outage_word : kLongestWait;
   if (const auto next = view_.NextChange()) {
     wait = std::min<Duration>(wait, *next - now);
   }
@@ -122,6 +135,47 @@
           std::clamp<Duration>(wait, kShortestWait, options_.watch)};
 }
 
+bool PublishedFeed::ShouldRead(TimePoint now) const {
+  if (rank_ == 0) {
+    return true;
+  }
+  if (IsFed(now)) {
+    return reads_store_ && now < helps_until_;
+  }
+  return reads_store_ || IsStale(now);
+}
+
+void PublishedFeed::BeginReading(TimePoint now) {
+  is_synced_ = false;
+  has_helped_ = false;
+  backoff_ = Duration::zero();
+  next_call_ = now;
+  if (rank_ == FeedHello::kNoSeed && KnowsOfOutage(now)) {
+    next_call_ =
+        now + UpTo(OutageInterval() - options_.longest_follower_backoff);
+  }
+  if (!reads_store_) {
+    for (auto& [host, peer] : peers_) {
+      peer.outage_at.reset();
+    }
+  }
+  spdlog::info("event=store-reader reads={} rank={} revision={}", reads_store_,
+               rank_, view_.revision());
+}
+
+Duration PublishedFeed::OutageInterval() const {
+  return std::max<Duration>(options_.longest_follower_backoff,
+                            options_.outage_share * told_hosts_);
+}
+
+// The seed that asked for this host is gone: from now on it asks itself.
+void PublishedFeed::HoldToOutage(TimePoint now) {
+  if (rank_ == FeedHello::kNoSeed && !KnowsOfOutage(now)) {
+    const Duration longest = 2 * options_.longest_follower_backoff;
+    next_call_ = std::min(next_call_, now + longest);
+  }
+}
+
 // What a host that is fed lost itself says nothing: a seed that the store
 // turned away, and that another seed fed, had its hosts keep removed endpoints
 // for 1.5 s longer.
@@ -135,6 +189,7 @@
 
 // Confirms nothing: the copy may be old.
 void PublishedFeed::OnReadAnyCopy(const PublishedItems& all, TimePoint now) {
+  awaits_copy_ = false;
   view_.TakeAll(all, false, now);
 }
 
@@ -158,6 +213,7 @@
 }
 
 void PublishedFeed::OnFailure(const Error& error, TimePoint now) {
+  awaits_copy_ = false;
   is_synced_ = false;
   ++counters_.failures;
   // Old changes were dropped; that is no loss of contact.
@@ -165,22 +221,33 @@
     spdlog::info("event=store-history-lost revision={}", view_.revision());
     return;
   }
-  next_call_ = now + NextBackoff();
+  next_call_ = now + NextBackoff(now);
   if (!std::exchange(lost_contact_, true)) {
     spdlog::warn("event=store-lost revision={} {}", view_.revision(),
                  ToString(error));
   }
 }
 
-Duration PublishedFeed::NextBackoff() {
+Duration PublishedFeed::NextBackoff(TimePoint now) {
+  if (rank_ == FeedHello::kNoSeed && KnowsOfOutage(now)) {
+    return Jittered(OutageInterval());
+  }
   const Duration longest = rank_ == FeedHello::kNoSeed
                                ? options_.longest_follower_backoff
                                : options_.longest_backoff;
   backoff_ = std::clamp(2 * backoff_, options_.shortest_backoff, longest);
-  // From half of it to one and a half, so that hosts that lost the store
-  // together do not come back together.
+  return Jittered(backoff_);
+}
+
+// From half of it to one and a half, so that hosts that lost the store together
+// do not come back together.
+Duration PublishedFeed::Jittered(Duration time) {
+  return time / 2 + UpTo(time);
+}
+
+Duration PublishedFeed::UpTo(Duration time) {
   constexpr std::uint32_t kScale = 1000;
-  return backoff_ / 2 + backoff_ * UniformBelow(random_, kScale) / kScale;
+  return time * UniformBelow(random_, kScale) / kScale;
 }
 
 FeedHello PublishedFeed::Hello() const {
@@ -202,7 +269,7 @@
   }
   std::int64_t hosts = 1 + CountFollowers();
   for (const auto& [host, peer] : peers_) {
-    if (Follows(peer) && peer.hello->rank != FeedHello::kNoSeed) {
+    if (IsSeed(peer)) {
       hosts += 1 + peer.hello->followers;
     }
   }
@@ -213,7 +280,20 @@
                              TimePoint /*now*/,
                              Outbox& out) {
   peers_[host] = Peer();
-  out.Send(host, Hello());
+  Greet(out);
+}
+
+// A host that reads a copy says hello when it has it: told before what it has,
+// its seed would send it all of that.
+void PublishedFeed::Greet(Outbox& out) {
+  if (awaits_copy_) {
+    return;
+  }
+  for (auto& [host, peer] : peers_) {
+    if (!std::exchange(peer.is_greeted, true)) {
+      out.Send(host, Hello());
+    }
+  }
 }
 
 void PublishedFeed::OnLinkDown(const HostId& host, TimePoint /*now*/) {
@@ -228,6 +308,30 @@
   return peer.hello && peer.hello->rank < rank_;
 }
 
+bool PublishedFeed::IsSeed(const Peer& peer) {
+  return peer.hello && peer.hello->rank != FeedHello::kNoSeed;
+}
+
+bool PublishedFeed::HasNewsFor(const Peer& peer) const {
+  const bool is_behind = peer.sent < view_.revision();
+  const bool is_older = peer.sent_confirmed < *confirmed_at_;
+  if (Follows(peer)) {
+    return is_behind || is_older;
+  }
+  return IsFeeder(peer) && peer.outage_at &&
+         (is_behind || (is_older && IsReadingWell()));
+}
+
+bool PublishedFeed::HasWordOfOutage(const Peer& peer, TimePoint now) const {
+  return peer.outage_at && now - *peer.outage_at < options_.outage_word_holds;
+}
+
+bool PublishedFeed::KnowsOfOutage(TimePoint now) const {
+  return view_.routes() && std::ranges::any_of(peers_, [&](const auto& it) {
+           return HasWordOfOutage(it.second, now);
+         });
+}
+
 void PublishedFeed::OnMessage(const HostId& host,
                               const PeerMessage& message,
                               TimePoint now,
@@ -239,10 +343,13 @@
     const bool is_behind =
         peer.sent < view_.revision() || peer.sent_confirmed == TimePoint();
     if (Follows(peer) && confirmed_at_ && is_behind) {
-      SendUpdate(host, peer, now, out);
+      SendUpdate({host}, peer.sent, now, out);
     }
   } else if (const auto* update = std::get_if<FeedUpdate>(&message)) {
     Take(host, *update, now, out);
+  } else if (const auto* outage = std::get_if<FeedOutage>(&message)) {
+    peers_[host].outage_at = now;
+    told_hosts_ = outage->hosts > 0 ? outage->hosts : told_hosts_;
   }
 }
 
@@ -257,7 +364,7 @@
     return;
   }
   if (update.whole) {
-    view_.TakeAll(update.changes, update.after_outage, now);
+    view_.TakeAllBut(update.changes, update.present, update.after_outage, now);
   } else {
     view_.TakeChanges(update.changes, update.after_outage, now);
   }
@@ -269,44 +376,87 @@
   if (update.changes.current < view_.revision()) {
     return;
   }
-  told_hosts_ = update.hosts;
+  Peer& peer = peers_[host];
+  if (IsFeeder(peer)) {
+    told_hosts_ = update.hosts;
+  }
   const TimePoint confirmed = now - update.age;
+  const bool was_fed = IsFed(now);
   Confirm(confirmed);
   if (!fed_at_ || *fed_at_ < confirmed) {
     fed_at_ = confirmed;
   }
+  if (has_helped_ && !was_fed) {
+    helps_until_ = now + UpTo(options_.longest_helping);
+  }
+  peer.fed_at = std::max(peer.fed_at.value_or(confirmed), confirmed);
+  peer.sent = std::max(peer.sent, update.changes.current);
+  peer.sent_confirmed = std::max(peer.sent_confirmed, confirmed);
   feeder_after_outage_ = update.after_outage;
 }
 
-void PublishedFeed::SendUpdate(const HostId& host,
-                               Peer& peer,
-                               TimePoint now,
-                               Outbox& out) {
+FeedUpdate PublishedFeed::UpdateAfter(Revision after, TimePoint now) const {
   FeedUpdate update;
-  update.whole = !view_.KnowsRemovalsAfter(peer.sent);
-  update.after = update.whole ? 0 : peer.sent;
-  update.changes = view_.ChangesAfter(update.after);
+  update.after = after;
+  update.whole = !view_.KnowsRemovalsAfter(after);
+  update.changes = view_.ChangesAfter(after);
+  if (update.whole) {
+    update.present = view_.UnchangedSince(after);
+  }
   update.after_outage = IsAfterOutage(now);
   update.hosts = KnownHosts();
   update.age = std::max<Duration>(now - *confirmed_at_, Duration::zero());
-  peer.sent = view_.revision();
-  peer.sent_confirmed = *confirmed_at_;
-  ++counters_.updates_sent;
-  out.Send(host, std::move(update));
+  return update;
+}
+
+void PublishedFeed::SendUpdate(std::vector<HostId> to,
+                               Revision after,
+                               TimePoint now,
+                               Outbox& out) {
+  for (const HostId& it : to) {
+    Peer& peer = peers_[it];
+    peer.sent = view_.revision();
+    peer.sent_confirmed = *confirmed_at_;
+    ++counters_.updates_sent;
+  }
+  out.SendToAll(std::move(to), UpdateAfter(after, now));
 }
 
 void PublishedFeed::Feed(TimePoint now, Outbox& out) {
+  Greet(out);
   KeepLinksAlive(now, out);
+  TellOutage(now, out);
   if (!confirmed_at_) {
     return;
   }
-  for (auto& [host, peer] : peers_) {
-    const bool is_news =
-        peer.sent < view_.revision() || peer.sent_confirmed < *confirmed_at_;
-    if (Follows(peer) && is_news) {
-      SendUpdate(host, peer, now, out);
+  // Nearly all peers have the same already, and get the same update.
+  std::map<Revision, std::vector<HostId>> behind;
+  for (const auto& [host, peer] : peers_) {
+    if (HasNewsFor(peer)) {
+      behind[peer.sent].push_back(host);
+      has_helped_ = has_helped_ || IsFeeder(peer);
     }
   }
+  for (auto& [after, hosts] : behind) {
+    SendUpdate(std::move(hosts), after, now, out);
+  }
+}
+
+void PublishedFeed::TellOutage(TimePoint now, Outbox& out) {
+  const bool asks_in_vain = reads_store_ && lost_contact_;
+  const bool is_concerned = rank_ != FeedHello::kNoSeed && !IsFed(now) &&
+                            (asks_in_vain || KnowsOfOutage(now));
+  if (!is_concerned || now < next_outage_word_) {
+    return;
+  }
+  next_outage_word_ = now + options_.outage_word;
+  std::vector<HostId> followers;
+  for (const auto& [host, peer] : peers_) {
+    if (Follows(peer)) {
+      followers.push_back(host);
+    }
+  }
+  out.SendToAll(std::move(followers), FeedOutage{KnownHosts()});
 }
 
 TimePoint PublishedFeed::UnfedSince(TimePoint now) const {
@@ -314,17 +464,28 @@
 }
 
 void PublishedFeed::KeepLinksAlive(TimePoint now, Outbox& out) {
-  if (now < next_hello_) {
+  if (awaits_copy_ || now < next_hello_) {
     return;
   }
   next_hello_ = now + options_.hello;
+  const bool is_seed = rank_ != FeedHello::kNoSeed;
   for (const auto& [host, peer] : peers_) {
-    if (IsFeeder(peer)) {
+    if (IsFeeder(peer) || (is_seed && IsSeed(peer))) {
       out.Send(host, Hello());
     }
   }
 }
 
+bool PublishedFeed::IsAttendedBy(const SocketAddress& seed,
+                                 TimePoint now) const {
+  return std::ranges::any_of(peers_, [&](const auto& it) {
+    const Peer& peer = it.second;
+    const bool feeds = peer.fed_at && now - *peer.fed_at < options_.seed_memory;
+    return peer.hello && peer.hello->address == seed &&
+           (feeds || HasWordOfOutage(peer, now));
+  });
+}
+
 std::vector<SocketAddress> PublishedFeed::WantedSeeds(TimePoint now) const {
   std::vector<SocketAddress> seeds = options_.seeds;
   if (rank_ != FeedHello::kNoSeed) {
@@ -335,11 +496,21 @@
   std::ranges::sort(seeds, {}, [&](const SocketAddress& it) {
     return PreferenceOf(options_, it);
   });
+  // Links to seeds that come before the one that attends to this host stay
+  // wanted, and it moves to them once they do. A host dropped the link that fed
+  // it in favour of a seed that did not, and had it again a second later.
+  const auto attending = std::ranges::find_if(
+      seeds, [&](const SocketAddress& it) { return IsAttendedBy(it, now); });
+  const bool is_attended = attending != seeds.end();
+  const auto kept =
+      is_attended ? static_cast<std::size_t>(attending - seeds.begin()) + 1 : 1;
   const Duration unfed =
-      std::max<Duration>(now - UnfedSince(now), Duration::zero());
+      KnowsOfOutage(now)
+          ? Duration::zero()
+          : std::max<Duration>(now - UnfedSince(now), Duration::zero());
   const auto most =
       static_cast<std::size_t>(1 + unfed / options_.seed_patience);
-  seeds.resize(std::min(seeds.size(), most));
+  seeds.resize(std::min(seeds.size(), std::max(kept, most)));
   return seeds;
 }
 
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -39,6 +39,9 @@
   Duration copy_patience = std::chrono::milliseconds(1000);
   // A host tries the next seed where one has not fed it for this long.
   Duration seed_patience = std::chrono::milliseconds(400);
+  // The link to a seed that fed it is kept for this long while it does not, so
+  // that a seed that is slow for a moment is not dialed anew by all its hosts.
+  Duration seed_memory = std::chrono::milliseconds(3000);
 
   // Between two hellos to a seed that this host follows.
   Duration hello = std::chrono::milliseconds(1500);
@@ -49,9 +52,20 @@
   Duration gather = std::chrono::milliseconds(150);
   // Between failed calls: doubled from the first to the second, jittered. Hosts
   // that are no seeds wait longer: the seeds tell them when the store is back.
+  // In an outage of which a seed says that it asks in vain, all hosts that are
+  // no seeds ask once within `outage_share` together, so that the calls do not
+  // grow with the fleet: 472 hosts asked 5,900 times in 8 s.
   Duration shortest_backoff = std::chrono::milliseconds(150);
   Duration longest_backoff = std::chrono::milliseconds(700);
   Duration longest_follower_backoff = std::chrono::milliseconds(2000);
+  Duration outage_share = std::chrono::milliseconds(100);
+  // A seed that asks in vain says so this often, and is taken at its word for
+  // `outage_word_holds`: two words may be lost.
+  Duration outage_word = std::chrono::milliseconds(400);
+  Duration outage_word_holds = std::chrono::milliseconds(1200);
+  // A host that reads for seeds that cannot goes on for up to this long after
+  // it is fed. Two that feed each other through a seed do not stop together.
+  Duration longest_helping = std::chrono::milliseconds(2000);
   // An endpoint that vanishes this soon after the store was out of reach may
   // only have lost its lease.
   Duration after_outage = std::chrono::milliseconds(2500);
@@ -81,11 +95,18 @@
 // whatever the reason (the feeder is frozen, killed, cut off from the store or
 // from this host), reads the store itself until it is fed again.
 //
+// What a host was told passes on to higher ranks only; what the store told it
+// itself passes to lower ranks too, where a seed is turned away by a store that
+// serves others. So no confirmation goes in a circle, growing younger by the
+// time that messages travel.
+//
 // Pure: no clock, sockets or threads. The owner carries out steps and messages.
 class PublishedFeed {
  public:
   PublishedFeed(PublishedFeedOptions options, std::uint64_t random_seed);
 
+  // Other seeds from now on; this host may be one of them, or be none any more.
+  void SetSeeds(std::vector<SocketAddress> seeds);
   // To be called again after each event and when the step's time has passed.
   FeedStep Next(TimePoint now);
   void OnReadAnyCopy(const PublishedItems& all, TimePoint now);
@@ -119,13 +140,37 @@
  private:
   struct Peer {
     std::optional<FeedHello> hello;
-    // What was sent to a host that follows.
+    bool is_greeted = false;
+    // What was sent to it or heard from it.
     Revision sent = 0;
     TimePoint sent_confirmed;
+    // What it fed was confirmed then, and its last word of an outage came then.
+    std::optional<TimePoint> fed_at;
+    std::optional<TimePoint> outage_at;
   };
 
+  void FindRank();
   bool Follows(const Peer& peer) const;
   bool IsFeeder(const Peer& peer) const;
+  static bool IsSeed(const Peer& peer);
+  // Whether what this host knows is news to the peer, and for this host to say.
+  bool HasNewsFor(const Peer& peer) const;
+  // Whether the store told this host itself what it knows.
+  bool IsReadingWell() const {
+    return reads_store_ && is_synced_ && !lost_contact_;
+  }
+  bool HasWordOfOutage(const Peer& peer, TimePoint now) const;
+  // A seed asks the store in vain for this host, which can wait: it has routes.
+  bool KnowsOfOutage(TimePoint now) const;
+  // Whether a seed does for this host what it can.
+  bool IsAttendedBy(const SocketAddress& seed, TimePoint now) const;
+  bool ShouldRead(TimePoint now) const;
+  void BeginReading(TimePoint now);
+  // In an outage: between calls of one host, so that all hosts together make
+  // one within each `outage_share`.
+  Duration OutageInterval() const;
+  void HoldToOutage(TimePoint now);
+  void TellOutage(TimePoint now, Outbox& out);
   bool IsStale(TimePoint now) const;
   bool IsFed(TimePoint now) const;
   Duration StaleAfter() const;
@@ -133,21 +178,31 @@
 
   void Confirm(TimePoint at);
   bool IsAfterOutage(TimePoint now) const;
-  void SendUpdate(const HostId& host, Peer& peer, TimePoint now, Outbox& out);
+  FeedUpdate UpdateAfter(Revision after, TimePoint now) const;
+  // `to` have everything up to `after`.
+  void SendUpdate(std::vector<HostId> to,
+                  Revision after,
+                  TimePoint now,
+                  Outbox& out);
   void Take(const HostId& host,
             const FeedUpdate& update,
             TimePoint now,
             Outbox& out);
   FeedHello Hello() const;
+  void Greet(Outbox& out);
   // Hosts that follow this one and are no seeds.
   std::int64_t CountFollowers() const;
   // From when on the missing feed is noticed.
   TimePoint UnfedSince(TimePoint now) const;
   // A link on which nothing is said counts as dead.
   void KeepLinksAlive(TimePoint now, Outbox& out);
-  Duration NextBackoff();
+  Duration NextBackoff(TimePoint now);
+  Duration Jittered(Duration time);
+  // From none to all of it.
+  Duration UpTo(Duration time);
 
-  const PublishedFeedOptions options_;
+  // Only the seeds change.
+  PublishedFeedOptions options_;
   Random random_;
   std::int64_t rank_ = FeedHello::kNoSeed;
   // By the last update.
@@ -163,9 +218,16 @@
   std::optional<TimePoint> fed_at_;
   bool reads_store_ = false;
   bool has_read_early_ = false;
+  // The early read has not ended.
+  bool awaits_copy_ = false;
   // A whole read has come since this host began to read.
   bool is_synced_ = false;
   bool lost_contact_ = false;
+  TimePoint next_outage_word_;
+  // Whether what this host read was sent to a seed that cannot read, and until
+  // when it then goes on reading although it is fed.
+  bool has_helped_ = false;
+  TimePoint helps_until_;
   // What the last update said of its sender, or of the host that feeds that.
   bool feeder_after_outage_ = false;
   TimePoint next_call_;
--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -67,6 +67,13 @@
   }
 }
 
+void PublishedLoop::SetSeeds(std::vector<SocketAddress> seeds) {
+  std::unique_lock lock(mutex_);
+  feed_.SetSeeds(std::move(seeds));
+  Settle(lock);
+  wake_.notify_all();
+}
+
 FeedCounters PublishedLoop::counters() const {
   const std::lock_guard lock(mutex_);
   return feed_.counters();
@@ -145,7 +152,7 @@
 void PublishedLoop::Settle(std::unique_lock<std::mutex>& lock) {
   const TimePoint now = Clock::now();
   feed_.Feed(now, out_);
-  std::vector<Outbox::Item> items = out_.Take();
+  const std::vector<Outbox::Parcel> parcels = out_.TakeParcels();
   const std::vector<SocketAddress> seeds = feed_.WantedSeeds(now);
   const bool has_new_seeds = seeds != seeds_;
   seeds_ = seeds;
@@ -174,19 +181,22 @@
     events_.OnPublished(state);
     telling.unlock();
   }
-  SendFrames(std::move(items));
+  SendFrames(parcels);
   if (has_new_seeds && transport_ != nullptr) {
     transport_->SetPeers(ToPeers(seeds));
   }
   lock.lock();
 }
 
-void PublishedLoop::SendFrames(std::vector<Outbox::Item> items) {
+void PublishedLoop::SendFrames(const std::vector<Outbox::Parcel>& parcels) {
   if (transport_ == nullptr) {
     return;
   }
-  for (const Outbox::Item& it : items) {
-    transport_->Send(it.to.text(), EncodePeerMessage(it.message));
+  for (const Outbox::Parcel& parcel : parcels) {
+    const std::string frame = EncodePeerMessage(parcel.message);
+    for (const HostId& it : parcel.to) {
+      transport_->Send(it.text(), frame);
+    }
   }
 }
 
--- a/fleet/published_loop.h
+++ b/fleet/published_loop.h
@@ -46,6 +46,9 @@
   void Start(PeerTransport* transport);
   void Stop();
 
+  // Other hosts at which peers find each other from now on.
+  void SetSeeds(std::vector<SocketAddress> seeds);
+
   FeedCounters counters() const;
   bool reads_store() const;
   // How old the knowledge is; null before the first.
@@ -66,7 +69,7 @@
   // Sends what is to be sent and tells the owner of changes; the caller holds
   // the lock, which is released meanwhile.
   void Settle(std::unique_lock<std::mutex>& lock);
-  void SendFrames(std::vector<Outbox::Item> items);
+  void SendFrames(const std::vector<Outbox::Parcel>& parcels);
 
   PublishedSource& source_;
   PublishedLoopEvents& events_;
--- a/fleet/published_messages.cc
+++ b/fleet/published_messages.cc
@@ -1,7 +1,9 @@
 #include "fleet/published_messages.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "fleet/endpoint_messages.h"
 #include "fleet/message_json.h"
 #include "fleet/route_messages.h"
 
@@ -13,93 +15,55 @@
 using detail::ToMicroseconds;
 
 constexpr std::int64_t kMostCount = 1'000'000'000'000;
-// Far beyond any clock, and far from where adding times would overflow.
-constexpr std::int64_t kLatestStartMs = 1'000'000'000'000'000;
-
-Json ToJson(const PublishedEndpoint& endpoint) {
-  return Json{
-      {"id", endpoint.spec.id.text()},
-      {"service", endpoint.service.text()},
-      {"address", ToString(endpoint.spec.address)},
-      {"zone", endpoint.spec.zone.text()},
-      {"slots", endpoint.spec.slots},
-      {"leaving", endpoint.spec.state == ListedState::kLeaving},
-      {"cold_us", ToMicroseconds(endpoint.cold_for)},
-      {"started_at_ms", endpoint.spec.started_at.time_since_epoch().count()}};
-}
-
-leaf::result<PublishedEndpoint> ParseEndpoint(const Json& json,
-                                              const std::string& path) {
-  PublishedEndpoint endpoint;
-  std::string id;
-  std::string service;
-  std::string zone;
-  bool leaving = false;
-  std::int64_t started_at_ms = 0;
-  JsonReader reader(json, path);
-  reader.Read("id", id);
-  reader.Read("service", service);
-  reader.Read("address", endpoint.spec.address);
-  reader.Read("zone", zone);
-  reader.Read("slots", endpoint.spec.slots, 1, kMostCount);
-  reader.ReadOptional("leaving", leaving);
-  ReadTime(reader, "cold_us", endpoint.cold_for);
-  reader.ReadOptional("started_at_ms", started_at_ms, 0, kLatestStartMs);
-  BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
-  endpoint.service = ServiceId(service);
-  endpoint.spec.id = EndpointId(id);
-  endpoint.spec.zone = ZoneId(zone);
-  endpoint.spec.state = leaving ? ListedState::kLeaving : ListedState::kLive;
-  endpoint.spec.started_at =
-      EndpointStart(std::chrono::milliseconds(started_at_ms));
-  return endpoint;
-}
 
-// One item under the key that names its sort; a value that could not be read
-// is not passed on.
-std::optional<Json> ItemToJson(const PublishedItem& item) {
-  Json json{{"revision", item.revision}};
+// Books and their steps keep their order; all else of an update stands in
+// tables.
+std::optional<Json> RoutesToJson(const PublishedItem& item) {
   if (const auto* book = std::get_if<RouteBook>(&item.value)) {
-    json["routes"] = ToJson(*book);
-  } else if (const auto* change = std::get_if<RouteBookChange>(&item.value)) {
-    json["routes_change"] = ToJson(*change);
-  } else if (const auto* endpoint =
-                 std::get_if<PublishedEndpoint>(&item.value)) {
-    json["endpoint"] = ToJson(*endpoint);
-  } else if (const auto* removed = std::get_if<RemovedEndpoint>(&item.value)) {
-    json["removed"] = removed->id.text();
-  } else if (const auto* unusable =
-                 std::get_if<UnusableEndpoint>(&item.value)) {
-    json["removed"] = unusable->id.text();
-  } else {
-    return std::nullopt;
+    return Json{{"revision", item.revision}, {"routes", ToJson(*book)}};
   }
-  return json;
+  if (const auto* change = std::get_if<RouteBookChange>(&item.value)) {
+    return Json{{"revision", item.revision},
+                {"routes_change", ToJson(*change)}};
+  }
+  return std::nullopt;
 }
 
-leaf::result<PublishedItem> ParseItem(const Json& json,
-                                      const std::string& path) {
+leaf::result<PublishedItem> ParseRoutesItem(const Json& json,
+                                            const std::string& path) {
   PublishedItem item;
-  std::string removed;
   JsonReader reader(json, path);
   reader.Read("revision", item.revision);
-  reader.ReadOptional("removed", removed);
   const Json* book = reader.OptionalObject("routes");
-  const Json* change = reader.OptionalObject("routes_change");
-  const Json* endpoint = reader.OptionalObject("endpoint");
+  const Json* change =
+      book == nullptr ? reader.Object("routes_change") : nullptr;
   BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
   if (book != nullptr) {
     BOOST_LEAF_ASSIGN(item.value, ParseRouteBook(*book, path));
-  } else if (change != nullptr) {
-    BOOST_LEAF_ASSIGN(item.value, ParseRouteBookChange(*change, path));
-  } else if (endpoint != nullptr) {
-    BOOST_LEAF_ASSIGN(item.value, ParseEndpoint(*endpoint, path));
   } else {
-    item.value = RemovedEndpoint{EndpointId(removed)};
+    BOOST_LEAF_ASSIGN(item.value, ParseRouteBookChange(*change, path));
   }
   return item;
 }
 
+leaf::result<void> ParseBooks(const Json& json,
+                              const std::string& path,
+                              std::vector<PublishedItem>& items) {
+  for (const Json& it : json) {
+    BOOST_LEAF_AUTO(item, ParseRoutesItem(it, path));
+    items.push_back(std::move(item));
+  }
+  return {};
+}
+
+Json IdsToJson(const std::vector<EndpointId>& ids) {
+  Json json = Json::array();
+  for (const EndpointId& it : ids) {
+    json.push_back(it.text());
+  }
+  return json;
+}
+
 }  // namespace
 
 Json FeedHello::ToJson() const {
@@ -122,24 +86,33 @@
 }
 
 Json FeedUpdate::ToJson() const {
-  Json items = Json::array();
+  Json books = Json::array();
   for (const PublishedItem& it : changes.items) {
-    if (std::optional<Json> json = ItemToJson(it)) {
-      items.push_back(std::move(*json));
+    if (std::optional<Json> json = RoutesToJson(it)) {
+      books.push_back(std::move(*json));
     }
   }
-  return Json{{"after", after},
-              {"current", changes.current},
-              {"age_us", ToMicroseconds(age)},
-              {"whole", whole},
-              {"after_outage", after_outage},
-              {"hosts", hosts},
-              {"items", std::move(items)}};
+  Json json{{"after", after},
+            {"current", changes.current},
+            {"age_us", ToMicroseconds(age)},
+            {"whole", whole},
+            {"after_outage", after_outage},
+            {"hosts", hosts}};
+  if (!changes.items.empty()) {
+    json["books"] = std::move(books);
+    json["endpoints"] = EndpointsToJson(changes.items);
+    json["removed"] = RemovalsToJson(changes.items);
+  }
+  if (!present.empty()) {
+    json["present"] = IdsToJson(present);
+  }
+  return json;
 }
 
 leaf::result<FeedUpdate> FeedUpdate::Parse(const Json& json,
                                            const std::string& path) {
   FeedUpdate update;
+  std::vector<std::string> present;
   JsonReader reader(json, path);
   reader.Read("after", update.after);
   reader.Read("current", update.changes.current);
@@ -147,13 +120,39 @@
   reader.ReadOptional("whole", update.whole);
   reader.ReadOptional("after_outage", update.after_outage);
   reader.ReadOptional("hosts", update.hosts, 0, kMostCount);
-  const Json* items = reader.Array("items");
+  reader.ReadOptional("present", present);
+  const Json* books = reader.OptionalArray("books");
+  const Json* endpoints = reader.OptionalObject("endpoints");
+  const Json* removed = reader.OptionalArray("removed");
   BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
-  for (const Json& it : *items) {
-    BOOST_LEAF_AUTO(item, ParseItem(it, path));
-    update.changes.items.push_back(std::move(item));
+  std::vector<PublishedItem>& items = update.changes.items;
+  if (books != nullptr) {
+    BOOST_LEAF_CHECK(ParseBooks(*books, path, items));
+  }
+  if (endpoints != nullptr) {
+    BOOST_LEAF_CHECK(ParseEndpoints(*endpoints, path, items));
+  }
+  if (removed != nullptr) {
+    BOOST_LEAF_CHECK(ParseRemovals(*removed, path, items));
+  }
+  std::ranges::stable_sort(items, {}, &PublishedItem::revision);
+  for (std::string& it : present) {
+    update.present.emplace_back(std::move(it));
   }
   return update;
 }
 
+Json FeedOutage::ToJson() const {
+  return Json{{"hosts", hosts}};
+}
+
+leaf::result<FeedOutage> FeedOutage::Parse(const Json& json,
+                                           const std::string& path) {
+  FeedOutage outage;
+  JsonReader reader(json, path);
+  reader.ReadOptional("hosts", outage.hosts, 0, kMostCount);
+  BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
+  return outage;
+}
+
 }  // namespace damasktack
--- a/fleet/published_messages.h
+++ b/fleet/published_messages.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/json_reader.h"
 #include "fleet/published_source.h"
@@ -35,13 +36,20 @@
 
 // Changes after a revision, or none: then it says that nothing has changed.
 struct FeedUpdate {
-  static constexpr std::string_view kKind = "feed-update";
+  // A daemon that knows no tables passes this kind over. Under the kind of
+  // before it would take an update without a list of objects for one that
+  // changes nothing.
+  static constexpr std::string_view kKind = "feed-tables";
 
   // The receiver must have this revision for the changes to be all.
   Revision after = 0;
   PublishedItems changes;
-  // The changes are all there is; what they lack is published no more.
+  // The sender cannot name each removal after `after`: it began to read later.
+  // What is neither in the changes nor in `present` is published no more.
   bool whole = false;
+  // Endpoints that have not changed since `after`; only where it is whole. Ids
+  // take a fifth of the entries, which the receiver has.
+  std::vector<EndpointId> present;
   // Endpoints removed may only have lost their lease while the store was away.
   bool after_outage = false;
   // Hosts of the fleet as far as the sender knows; 0 where it does not.
@@ -56,6 +64,22 @@
   bool operator==(const FeedUpdate&) const = default;
 };
 
+// The sender asks the store and gets no answer, or was told so. Without a word
+// a follower cannot tell such a seed from one that is dead, and asks the store
+// itself.
+struct FeedOutage {
+  static constexpr std::string_view kKind = "feed-outage";
+
+  // Hosts of the fleet as far as the sender knows; 0 where it does not.
+  std::int64_t hosts = 0;
+
+  Json ToJson() const;
+  static leaf::result<FeedOutage> Parse(const Json& json,
+                                        const std::string& path);
+
+  bool operator==(const FeedOutage&) const = default;
+};
+
 }  // namespace damasktack
 
 #endif  // FLEET_PUBLISHED_MESSAGES_H_
--- a/fleet/published_source.h
+++ b/fleet/published_source.h
@@ -70,7 +70,7 @@
   virtual ~PublishedSource() = default;
 
   // All items. They are read page by page and are no snapshot: `current` is
-  // the revision at the first page, so that a watch from it misses nothing.
+  // the oldest revision of a page, so that a watch from it misses nothing.
   virtual leaf::result<PublishedItems> ReadAll(Duration timeout) = 0;
   // The same from any copy of the store: cheaper, and perhaps seconds old.
   virtual leaf::result<PublishedItems> ReadAnyCopy(Duration timeout) = 0;
--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -20,6 +20,13 @@
 constexpr std::size_t kMostRefused = 4096;
 constexpr std::size_t kLargestStepPart = 4;
 
+// Whether a host would go by both in the same way. How much longer an endpoint
+// stays slow runs down by itself.
+bool IsAlike(PublishedEndpoint a, const PublishedEndpoint& b) {
+  a.cold_for = b.cold_for;
+  return a == b;
+}
+
 }  // namespace
 
 void PublishedView::TakeAll(const PublishedItems& all,
@@ -31,18 +38,55 @@
       present.insert(endpoint->spec.id);
     }
     Take(it, after_outage, now);
+    TellAnew(it);
+  }
+  Retain(present, all.current, after_outage, now);
+}
+
+void PublishedView::TakeAllBut(const PublishedItems& changes,
+                               const std::vector<EndpointId>& present,
+                               bool after_outage,
+                               TimePoint now) {
+  std::set<EndpointId> listed(present.begin(), present.end());
+  for (const PublishedItem& it : changes.items) {
+    if (const auto* endpoint = std::get_if<PublishedEndpoint>(&it.value)) {
+      listed.insert(endpoint->spec.id);
+    }
+    Take(it, after_outage, now);
+    TellAnew(it);
+  }
+  if (misses_book_) {
+    return;
+  }
+  Retain(listed, changes.current, after_outage, now);
+}
+
+// An endpoint may have been removed and published again as it was, unseen by
+// this host and seen by a peer in between.
+void PublishedView::TellAnew(const PublishedItem& item) {
+  const auto* endpoint = std::get_if<PublishedEndpoint>(&item.value);
+  const auto it = endpoint == nullptr ? endpoints_.end()
+                                      : endpoints_.find(endpoint->spec.id);
+  if (it != endpoints_.end()) {
+    it->second.told_revision = it->second.revision;
   }
+}
+
+void PublishedView::Retain(const std::set<EndpointId>& present,
+                           Revision current,
+                           bool after_outage,
+                           TimePoint now) {
   std::vector<EndpointId> missing;
   for (const auto& [id, entry] : endpoints_) {
-    if (!present.contains(id) && entry.revision <= all.current) {
+    if (!present.contains(id) && entry.revision <= current) {
       missing.push_back(id);
     }
   }
   for (const EndpointId& it : missing) {
-    Remember(it, all.current);
+    Remember(it, current);
     Miss(it, after_outage, now);
   }
-  revision_ = std::max(revision_, all.current);
+  revision_ = std::max(revision_, current);
   if (!complete_after_) {
     complete_after_ = revision_;
   }
@@ -217,11 +261,13 @@
       known.started_at == taken.spec.started_at) {
     taken.spec.state = ListedState::kLeaving;
   }
-  if (entry.missing_since || entry.endpoint != taken) {
-    entry.missing_since.reset();
-    entry.endpoint = std::move(taken);
-    changed_ = true;
+  if (!entry.missing_since && IsAlike(entry.endpoint, taken)) {
+    return;
   }
+  entry.missing_since.reset();
+  entry.endpoint = std::move(taken);
+  entry.told_revision = entry.revision;
+  changed_ = true;
 }
 
 // The entry shows that somebody writes under the id, so it is missing no more.
@@ -230,13 +276,14 @@
                                          TimePoint now) {
   changed_ = changed_ || entry.missing_since.has_value();
   entry.missing_since.reset();
-  if (entry.earlier_start == endpoint) {
+  if (entry.earlier_start && IsAlike(*entry.earlier_start, endpoint)) {
     return;
   }
   if (!entry.earlier_start) {
     entry.earlier_start_since = now;
   }
   entry.earlier_start = endpoint;
+  entry.told_revision = entry.revision;
 }
 
 void PublishedView::Miss(const EndpointId& id,
@@ -296,18 +343,28 @@
   return endpoints;
 }
 
+std::vector<EndpointId> PublishedView::UnchangedSince(Revision revision) const {
+  std::vector<EndpointId> ids;
+  for (const auto& [id, entry] : endpoints_) {
+    if (entry.told_revision <= revision && !entry.missing_since) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
 PublishedItems PublishedView::ChangesAfter(Revision after) const {
   PublishedItems changes;
   changes.current = revision_;
   AddRoutesAfter(after, changes);
   for (const auto& [id, entry] : endpoints_) {
-    if (entry.revision <= after || entry.missing_since) {
+    if (entry.told_revision <= after || entry.missing_since) {
       continue;
     }
-    changes.items.push_back({entry.revision, entry.endpoint});
+    changes.items.push_back({entry.told_revision, entry.endpoint});
     // Each host waits by itself whether it stays.
     if (entry.earlier_start) {
-      changes.items.push_back({entry.revision, *entry.earlier_start});
+      changes.items.push_back({entry.told_revision, *entry.earlier_start});
     }
   }
   for (const auto& [id, revision] : removed_) {
--- a/fleet/published_view.h
+++ b/fleet/published_view.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "fleet/published_source.h"
@@ -32,6 +33,12 @@
   // A whole read. Endpoints that it lacks are removed; where the store was out
   // of reach before it, only after kMissingGrace.
   void TakeAll(const PublishedItems& all, bool after_outage, TimePoint now);
+  // Changes of a feeder that cannot name each removal before them: endpoints
+  // that are neither in them nor in `present` are removed as above.
+  void TakeAllBut(const PublishedItems& changes,
+                  const std::vector<EndpointId>& present,
+                  bool after_outage,
+                  TimePoint now);
   // Changes from a watch.
   void TakeChanges(const PublishedItems& changes,
                    bool after_outage,
@@ -44,6 +51,9 @@
   // Null before the first that could be read.
   const std::shared_ptr<const RouteBook>& routes() const { return routes_; }
   std::vector<PublishedEndpoint> Endpoints() const;
+  // Endpoints that peers which know everything up to a revision have as they
+  // are.
+  std::vector<EndpointId> UnchangedSince(Revision revision) const;
   Revision revision() const { return revision_; }
   // What has changed after a revision; all of it after 0.
   PublishedItems ChangesAfter(Revision after) const;
@@ -63,7 +73,13 @@
  private:
   struct Entry {
     PublishedEndpoint endpoint;
+    // Of the newest write. Most writes are heartbeats that change nothing a
+    // host goes by.
     Revision revision = 0;
+    // Of the newest write that peers have to hear of. An endpoint that started
+    // counts down with each heartbeat for how long it stays slow; sent on, that
+    // alone had each host hear of it twice more, and join its list anew.
+    Revision told_revision = 0;
     std::optional<TimePoint> missing_since;
     // A newer entry of an earlier start, and since when nothing replaced it.
     std::optional<PublishedEndpoint> earlier_start;
@@ -71,6 +87,11 @@
   };
 
   void Take(const PublishedItem& item, bool after_outage, TimePoint now);
+  void TellAnew(const PublishedItem& item);
+  void Retain(const std::set<EndpointId>& present,
+              Revision current,
+              bool after_outage,
+              TimePoint now);
   void TakeRoutes(const RouteBook& book, Revision revision);
   void TakeRoutesChange(const RouteBookChange& change, Revision revision);
   void RememberStep(const RouteBook& book, Revision revision);
--- a/tests/fleet/feed_world.h
+++ b/tests/fleet/feed_world.h
@@ -64,10 +64,25 @@
     books_[version] = book_;
     book_revision_ = ++revision_;
   }
+  // One that was removed may be published again as it was.
   void AddEndpoint(const std::string& id) {
+    if (endpoints_.contains(id)) {
+      return;
+    }
     PublishedEndpoint endpoint;
     endpoint.spec.id = EndpointId(id);
+    endpoint.cold_for = std::chrono::seconds(3);
     endpoints_[id] = {++revision_, endpoint};
+    added_at_[id] = now_;
+    removed_.erase(id);
+  }
+  // A heartbeat of an endpoint that started lately.
+  void WarmEndpoint(const std::string& id) {
+    const auto it = endpoints_.find(id);
+    if (it != endpoints_.end()) {
+      it->second.second.cold_for /= 2;
+      it->second.first = ++revision_;
+    }
   }
   void RemoveEndpoint(const std::string& id) {
     if (endpoints_.erase(id) > 0) {
@@ -75,6 +90,19 @@
     }
   }
 
+  // Settings that name other seeds, taken in by all that run.
+  void SetSeeds(const std::vector<std::string>& seeds) {
+    std::vector<SocketAddress> addresses;
+    for (const std::string& it : seeds) {
+      addresses.push_back(AddressOf(it));
+    }
+    for (auto& [name, host] : hosts_) {
+      if (host.is_up) {
+        host.feed->SetSeeds(addresses);
+      }
+    }
+  }
+
   // Disruptions.
   void Kill(const std::string& name) {
     Host& host = hosts_.at(name);
@@ -129,6 +157,21 @@
     }
     return overdue;
   }
+  // Endpoints that a host does not know although they were published `bound`
+  // ago or earlier.
+  std::vector<std::string> Lacking(const Host& host, Duration bound) const {
+    std::set<std::string> known;
+    for (const PublishedEndpoint& it : host.feed->view().Endpoints()) {
+      known.insert(it.spec.id.text());
+    }
+    std::vector<std::string> lacking;
+    for (const auto& [id, entry] : endpoints_) {
+      if (!known.contains(id) && now_ - added_at_.at(id) > bound) {
+        lacking.push_back(id);
+      }
+    }
+    return lacking;
+  }
   // Whether a host has the routes of a published version, or none.
   bool HasTrueBook(const Host& host) const {
     const auto& routes = host.feed->view().routes();
@@ -144,6 +187,8 @@
   }
   // Frames sent so far that hold a whole book.
   std::uint64_t books_sent() const { return books_sent_; }
+  // Entries of endpoints in all frames so far.
+  std::uint64_t entries_sent() const { return entries_sent_; }
   std::uint64_t VersionOf(const Host& host) const {
     const auto& routes = host.feed->view().routes();
     return routes ? routes->version : 0;
@@ -294,6 +339,7 @@
     }
     for (const PublishedItem& it : update->changes.items) {
       books_sent_ += std::holds_alternative<RouteBook>(it.value) ? 1 : 0;
+      entries_sent_ += std::holds_alternative<PublishedEndpoint>(it.value);
     }
   }
 
@@ -308,8 +354,10 @@
   RouteBook book_;
   std::map<std::uint64_t, RouteBook> books_;
   std::uint64_t books_sent_ = 0;
+  std::uint64_t entries_sent_ = 0;
   Revision book_revision_ = 0;
   std::map<std::string, std::pair<Revision, PublishedEndpoint>> endpoints_;
+  std::map<std::string, TimePoint> added_at_;
   std::map<std::string, std::pair<Revision, TimePoint>> removed_;
   Revision revision_ = 0;
   std::uint64_t store_calls_ = 0;
