A running host takes in what its settings file names anew

SIGHUP was logged and changed nothing. Seeds and the times of a stop are taken in at once without cutting a call; the log names what waits for a restart, by comparing all settings from their one list.

--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "main/fleet_node.h"
+#include "main/settings_snapshot.h"
 #include "platform/kv_names.h"
 
 namespace damasktack {
@@ -49,6 +50,15 @@
   return options;
 }
 
+// "none" without any, so that a line of the log has the same fields always.
+std::string Join(const std::vector<std::string>& names) {
+  std::string text;
+  for (const std::string& it : names) {
+    text += (text.empty() ? "" : ",") + it;
+  }
+  return text.empty() ? "none" : text;
+}
+
 std::unique_ptr<WebsocketTransport> MakeTransport(const Settings& settings,
                                                   PeerTransportEvents& events) {
   if (!settings.fleet.enabled) {
@@ -191,11 +201,16 @@
   spdlog::info("event=stopped host={} cut={}", settings_.host.text(), cut);
 }
 
-void StoreDaemon::Reload(const Settings& settings) {
-  const bool same = settings.proxy.listen == settings_.proxy.listen &&
-                    settings.store.address == settings_.store.address;
-  spdlog::info("event=reloaded host={} needs_restart={}", settings_.host.text(),
-               !same);
+void StoreDaemon::Reload(const Settings& wanted) {
+  const SettingsChange change = CompareSettings(settings_, wanted);
+  settings_.stop = wanted.stop;
+  if (settings_.fleet.seeds != wanted.fleet.seeds) {
+    settings_.fleet.seeds = wanted.fleet.seeds;
+    published_.SetSeeds(wanted.fleet.seeds);
+  }
+  spdlog::info("event=reloaded host={} taken={} after_restart={}",
+               settings_.host.text(), Join(change.taken),
+               Join(change.after_restart));
 }
 
 bool StoreDaemon::Ready() const {
--- a/main/store_daemon.h
+++ b/main/store_daemon.h
@@ -27,9 +27,9 @@
   leaf::result<void> Start();
   // Graceful stop: readiness off, the lag, every call in flight, then the end.
   void Stop();
-  // Takes changed settings in as far as a running host can: the addresses and
-  // threads of a process stay as they were when it started.
-  void Reload(const Settings& settings);
+  // Takes in what a running host can (main/settings_snapshot.h) without cutting
+  // a call, and logs what waits for a restart. On the thread that calls Stop.
+  void Reload(const Settings& wanted);
 
   std::uint16_t caller_port() const { return callers_.port(); }
 
@@ -50,7 +50,8 @@
   void StopPublished();
   void LogChange(const PublishedState& state) const;
 
-  const Settings settings_;
+  // Other threads read what Reload leaves alone.
+  Settings settings_;
   OpenLimitGate limits_;
   OpenClaimGate claims_;
   ProxyState state_;
--- a/tests/main/test_settings.cc
+++ b/tests/main/test_settings.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "main/settings.h"
+#include "main/settings_snapshot.h"
 
 namespace damasktack {
 namespace {
@@ -39,6 +40,31 @@
   return ErrorOf(json.dump());
 }
 
+Settings Parsed(const Json& json) {
+  return Try([&] { return ParseSettings(json.dump(), "file"); },
+             [](const Error& error) {
+               FAIL(ToString(error));
+               return Settings{};
+             });
+}
+
+// An operator changes a file and has the hosts read it again. The log has to
+// say what is in force now and what is not, and must not show a key.
+TEST_CASE("changed settings are told by whether a running host takes them in") {
+  const Settings running = Parsed(SoundWithStore());
+  CHECK(CompareSettings(running, running).taken.empty());
+  CHECK(CompareSettings(running, running).after_restart.empty());
+  Json json = SoundWithStore();
+  json["fleet"]["seeds"] = Json::array({"10.0.0.1:8544"});
+  json["fleet"]["key"] = "another-key-of-it";
+  json["stop"] = Json{{"lag", "3s"}};
+  json["proxy"]["threads"] = 4;
+  const SettingsChange change = CompareSettings(running, Parsed(json));
+  CHECK(change.taken == std::vector<std::string>{"fleet.seeds", "stop.lag"});
+  CHECK(change.after_restart ==
+        std::vector<std::string>{"proxy.threads", "fleet.key"});
+}
+
 TEST_CASE("sound settings with comments are taken") {
   CHECK(ErrorOf("// why\n" + Sound().dump()) == Error{});
 }
--- a/tests/main/test_store_daemon.cc
+++ b/tests/main/test_store_daemon.cc
@@ -70,7 +70,7 @@
   std::thread thread_;
 };
 
-std::unique_ptr<StoreDaemon> StartDaemon(std::uint16_t store) {
+Settings MakeSettings(std::uint16_t store) {
   Settings settings;
   settings.host = HostId("h1");
   settings.zone = ZoneId("z1");
@@ -82,7 +82,11 @@
   settings.store.enabled = true;
   settings.store.address = SocketAddress{"127.0.0.1", store};
   settings.stop.lag = milliseconds(50);
-  auto daemon = std::make_unique<StoreDaemon>(settings);
+  return settings;
+}
+
+std::unique_ptr<StoreDaemon> StartDaemon(std::uint16_t store) {
+  auto daemon = std::make_unique<StoreDaemon>(MakeSettings(store));
   Try([&] { return daemon->Start(); },
       [](const Error& error) { FAIL(ToString(error)); });
   return daemon;
@@ -165,5 +169,32 @@
   CHECK(status == 200);
 }
 
+// Settings change while a call is at its endpoint. The call gets its answer,
+// and what the change says of the stop holds at the next stop: by the settings
+// of the start it would last ten minutes.
+TEST_CASE("changed settings are taken in without cutting a call") {
+  const CallEndpoint endpoint(milliseconds(300));
+  StandinStore store;
+  store.PutJson("op/config", Book(3, "/x/"));
+  store.PutJson("servers/i-1", Endpoint(endpoint.port()));
+  Settings settings = MakeSettings(store.port());
+  settings.stop.lag = std::chrono::minutes(10);
+  StoreDaemon daemon(settings);
+  Try([&] { return daemon.Start(); },
+      [](const Error& error) { FAIL(ToString(error)); });
+  REQUIRE(Eventually([&] { return daemon.Ready(); }));
+  int status = 0;
+  std::thread caller([&] { status = Ask(daemon, "/x/1")->status; });
+  REQUIRE(Eventually([&] { return daemon.Host().calls_in_flight > 0; }));
+  settings.stop.lag = milliseconds(20);
+  settings.fleet.seeds = {{"127.0.0.1", 9}};
+  settings.proxy.threads = 2;
+  daemon.Reload(settings);
+  caller.join();
+  CHECK(status == 200);
+  CHECK(Ask(daemon, "/x/1")->status == 200);
+  daemon.Stop();
+}
+
 }  // namespace
 }  // namespace damasktack
