--- a/bench/decision_time_bench.cc
+++ b/bench/decision_time_bench.cc
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "policy/endpoint_table.h"
+#include "policy/measured_balancer.h"
 
 namespace {
 
@@ -37,7 +38,7 @@
 
 using std::chrono::microseconds;
 
-EndpointTable MakeTable(int endpoints, std::string_view picker) {
+ServiceSpec MakeService(int endpoints) {
   ServiceSpec service;
   for (int n = 0; n < endpoints; ++n) {
     EndpointSpec spec;
@@ -47,6 +48,11 @@
     spec.slots = 6;
     service.endpoints.push_back(spec);
   }
+  return service;
+}
+
+EndpointTable MakeTable(int endpoints, std::string_view picker) {
+  const ServiceSpec service = MakeService(endpoints);
   EndpointTable table(
       EndpointTableOptions{ZoneId("z1"), std::chrono::milliseconds(1), picker});
   table.SetService(service, 15, TimePoint(std::chrono::seconds(1)));
@@ -121,6 +127,29 @@
 }
 BENCHMARK(BM_Call)->Name("pick, send, end, report")->Arg(15)->Arg(510);
 
+// What a host spends where one endpoint of a service is replaced.
+void BM_Replace(benchmark::State& state) {
+  ServiceSpec service = MakeService(static_cast<int>(state.range(0)));
+  MeasuredBalancerOptions options;
+  options.host = HostId("h1");
+  options.zone = ZoneId("z1");
+  MeasuredBalancer balancer(options, 1);
+  TimePoint now(std::chrono::seconds(2));
+  balancer.SetService(service, 100, now);
+  std::size_t next = 0;
+  for (auto _ : state) {
+    now += microseconds(200);
+    service.endpoints[next].started_at += std::chrono::milliseconds(1);
+    next = (next + 1) % service.endpoints.size();
+    balancer.SetService(service, 100, now);
+  }
+}
+BENCHMARK(BM_Replace)
+    ->Name("one endpoint replaced")
+    ->Arg(30)
+    ->Arg(300)
+    ->Arg(3000);
+
 }  // namespace
 }  // namespace damasktack
 
--- /dev/null
+++ b/fleet/early_part.cc
@@ -0,0 +1,39 @@
+#include "fleet/early_part.h"
+
+#include <algorithm>
+
+namespace damasktack {
+
+namespace {
+
+// Endpoints of a service with which its calls can be placed: not all of them
+// are slow or full.
+constexpr std::ptrdiff_t kFewestEndpoints = 4;
+
+std::ptrdiff_t CountLive(const PublishedItems& items,
+                         const ServiceId& service) {
+  return std::ranges::count_if(items.items, [&](const PublishedItem& it) {
+    const auto* endpoint = std::get_if<PublishedEndpoint>(&it.value);
+    return endpoint != nullptr && endpoint->service == service &&
+           endpoint->spec.state == ListedState::kLive;
+  });
+}
+
+}  // namespace
+
+bool IsBook(const PublishedItem& item) {
+  return std::holds_alternative<RouteBook>(item.value);
+}
+
+bool ServesEachRoute(const PublishedItems& items) {
+  const auto book = std::ranges::find_if(items.items, IsBook);
+  if (book == items.items.end()) {
+    return false;
+  }
+  return std::ranges::all_of(
+      std::get<RouteBook>(book->value).services, [&](const ServiceTraits& it) {
+        return CountLive(items, it.id) >= kFewestEndpoints;
+      });
+}
+
+}  // namespace damasktack
--- /dev/null
+++ b/fleet/early_part.h
@@ -0,0 +1,16 @@
+#ifndef FLEET_EARLY_PART_H_
+#define FLEET_EARLY_PART_H_
+
+#include "fleet/published_source.h"
+
+namespace damasktack {
+
+// Of what a host that starts has read first.
+
+bool IsBook(const PublishedItem& item);
+// Whether the items have a book and enough endpoints for each of its services.
+bool ServesEachRoute(const PublishedItems& items);
+
+}  // namespace damasktack
+
+#endif  // FLEET_EARLY_PART_H_
--- /dev/null
+++ b/fleet/feed_peers.cc
@@ -0,0 +1,73 @@
+#include "fleet/feed_peers.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace damasktack {
+
+std::vector<HostId> FeedPeers::Followers() const {
+  std::vector<HostId> followers;
+  for (const auto& [host, peer] : peers_) {
+    if (Follows(peer)) {
+      followers.push_back(host);
+    }
+  }
+  return followers;
+}
+
+std::int64_t FeedPeers::CountFollowers() const {
+  return std::ranges::count_if(peers_, [&](const auto& it) {
+    return Follows(it.second) && !it.second.IsSeed();
+  });
+}
+
+std::int64_t FeedPeers::CountHosts() const {
+  std::int64_t hosts = 1 + CountFollowers();
+  for (const auto& [host, peer] : peers_) {
+    if (peer.IsSeed()) {
+      hosts += 1 + peer.hello->followers;
+    }
+  }
+  return hosts;
+}
+
+bool FeedPeers::HaveWordOfOutage(Duration holds, TimePoint now) const {
+  return std::ranges::any_of(peers_, [&](const auto& it) {
+    return it.second.HasWordOfOutage(holds, now);
+  });
+}
+
+bool FeedPeers::IsAttendedBy(const SocketAddress& seed,
+                             const PublishedFeedOptions& options,
+                             TimePoint now) const {
+  return std::ranges::any_of(peers_, [&](const auto& it) {
+    const FeedPeer& peer = it.second;
+    const bool feeds = peer.fed_at && now - *peer.fed_at < options.seed_memory;
+    return peer.hello && peer.hello->address == seed &&
+           (feeds || peer.HasWordOfOutage(options.outage_word_holds, now));
+  });
+}
+
+void FeedPeers::ForgetOutages() {
+  for (auto& [host, peer] : peers_) {
+    peer.outage_at.reset();
+  }
+}
+
+std::vector<HostId> FeedPeers::TakeUngreeted() {
+  std::vector<HostId> hosts;
+  for (auto& [host, peer] : peers_) {
+    if (!std::exchange(peer.is_greeted, true)) {
+      hosts.push_back(host);
+    }
+  }
+  return hosts;
+}
+
+void FeedPeers::GreetAnew() {
+  for (auto& [host, peer] : peers_) {
+    peer.is_greeted = false;
+  }
+}
+
+}  // namespace damasktack
--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -5,8 +5,12 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 #include <utility>
 
+#include "fleet/early_part.h"
+#include "fleet/seed_order.h"
+
 namespace damasktack {
 
 namespace {
@@ -15,53 +19,6 @@
 constexpr Duration kLongestWait = std::chrono::seconds(1);
 constexpr Duration kShortestWait = std::chrono::milliseconds(1);
 
-// Endpoints of a service with which its calls can be placed: not all of them
-// are slow or full.
-constexpr std::ptrdiff_t kFewestEndpoints = 4;
-
-bool IsBook(const PublishedItem& item) {
-  return std::holds_alternative<RouteBook>(item.value);
-}
-
-std::ptrdiff_t CountLive(const PublishedItems& items,
-                         const ServiceId& service) {
-  return std::ranges::count_if(items.items, [&](const PublishedItem& it) {
-    const auto* endpoint = std::get_if<PublishedEndpoint>(&it.value);
-    return endpoint != nullptr && endpoint->service == service &&
-           endpoint->spec.state == ListedState::kLive;
-  });
-}
-
-// Whether the items have a book and enough endpoints for all of it.
-bool ServesEachRoute(const PublishedItems& items) {
-  const auto book = std::ranges::find_if(items.items, IsBook);
-  if (book == items.items.end()) {
-    return false;
-  }
-  return std::ranges::all_of(
-      std::get<RouteBook>(book->value).services, [&](const ServiceTraits& it) {
-        return CountLive(items, it.id) >= kFewestEndpoints;
-      });
-}
-
-// Where a seed stands in a host's order: those first whose address begins like
-// the host's own, since networks number zones so and bytes between zones are
-// billed; among these by a hash, which spreads the hosts over the seeds.
-struct SeedPreference {
-  std::ptrdiff_t differs_at = 0;
-  std::uint64_t hash = 0;
-
-  auto operator<=>(const SeedPreference&) const = default;
-};
-
-SeedPreference PreferenceOf(const PublishedFeedOptions& options,
-                            const SocketAddress& seed) {
-  const std::string& own = options.address.ip;
-  const auto differs = std::ranges::mismatch(own, seed.ip).in1 - own.begin();
-  const std::string text = options.self.text() + " " + ToString(seed);
-  return {-differs, XXH3_64bits(text.data(), text.size())};
-}
-
 }  // namespace
 
 PublishedFeed::PublishedFeed(PublishedFeedOptions options,
@@ -76,6 +33,7 @@
   const auto own = std::ranges::find(options_.seeds, options_.address);
   rank_ = own == options_.seeds.end() ? FeedHello::kNoSeed
                                       : own - options_.seeds.begin();
+  peers_.SetRank(rank_);
   const std::string& name = options_.self.text();
   constexpr unsigned kRankBits = 20;
   const auto drawn = XXH3_64bits(name.data(), name.size()) ^ random_();
@@ -87,13 +45,11 @@
   options_.seeds = std::move(seeds);
   FindRank();
   // Peers have to hear of the new rank.
-  for (auto& [host, peer] : peers_) {
-    peer.is_greeted = false;
-  }
+  peers_.GreetAnew();
 }
 
 Duration PublishedFeed::StaleAfter() const {
-  return rank_ == FeedHello::kNoSeed ? options_.stale : options_.seed_stale;
+  return !IsSeed() ? options_.stale : options_.seed_stale;
 }
 
 TimePoint PublishedFeed::StartDue() const {
@@ -201,14 +157,12 @@
   has_helped_ = false;
   backoff_ = Duration::zero();
   next_call_ = now;
-  if (rank_ == FeedHello::kNoSeed && KnowsOfOutage(now)) {
+  if (!IsSeed() && KnowsOfOutage(now)) {
     next_call_ =
         now + UpTo(OutageInterval() - options_.longest_follower_backoff);
   }
   if (!reads_store_) {
-    for (auto& [host, peer] : peers_) {
-      peer.outage_at.reset();
-    }
+    peers_.ForgetOutages();
   }
   spdlog::info("event=store-reader reads={} rank={} revision={}", reads_store_,
                rank_, view_.revision());
@@ -221,7 +175,7 @@
 
 // The seed that asked for this host is gone: from now on it asks itself.
 void PublishedFeed::HoldToOutage(TimePoint now) {
-  if (rank_ == FeedHello::kNoSeed && !KnowsOfOutage(now)) {
+  if (!IsSeed() && !KnowsOfOutage(now)) {
     const Duration longest = 2 * options_.longest_follower_backoff;
     next_call_ = std::min(next_call_, now + longest);
   }
@@ -296,12 +250,11 @@
 }
 
 Duration PublishedFeed::NextBackoff(TimePoint now) {
-  if (rank_ == FeedHello::kNoSeed && KnowsOfOutage(now)) {
+  if (!IsSeed() && KnowsOfOutage(now)) {
     return Jittered(OutageInterval());
   }
-  const Duration longest = rank_ == FeedHello::kNoSeed
-                               ? options_.longest_follower_backoff
-                               : options_.longest_backoff;
+  const Duration longest =
+      !IsSeed() ? options_.longest_follower_backoff : options_.longest_backoff;
   backoff_ = std::clamp(2 * backoff_, options_.shortest_backoff, longest);
   return Jittered(backoff_);
 }
@@ -318,35 +271,18 @@
 }
 
 FeedHello PublishedFeed::Hello() const {
-  return {rank_, options_.address, view_.revision(), CountFollowers()};
-}
-
-std::int64_t PublishedFeed::CountFollowers() const {
-  return std::ranges::count_if(peers_, [&](const auto& it) {
-    return Follows(it.second) && it.second.hello->rank == FeedHello::kNoSeed;
-  });
+  return {rank_, options_.address, view_.revision(), peers_.CountFollowers()};
 }
 
-// Each host follows one seed as a rule, so the seeds' counts add up; while one
-// looks for another seed it is counted twice, which makes shares smaller.
 std::int64_t PublishedFeed::KnownHosts() const {
-  const bool is_head = reads_store_ && rank_ != FeedHello::kNoSeed;
-  if (!is_head) {
-    return told_hosts_;
-  }
-  std::int64_t hosts = 1 + CountFollowers();
-  for (const auto& [host, peer] : peers_) {
-    if (IsSeed(peer)) {
-      hosts += 1 + peer.hello->followers;
-    }
-  }
-  return hosts;
+  const bool is_head = reads_store_ && IsSeed();
+  return is_head ? peers_.CountHosts() : told_hosts_;
 }
 
 void PublishedFeed::OnLinkUp(const HostId& host,
                              TimePoint /*now*/,
                              Outbox& out) {
-  peers_[host] = Peer();
+  peers_.OnLinkUp(host);
   Greet(out);
 }
 
@@ -356,47 +292,28 @@
   if (awaits_copy_) {
     return;
   }
-  for (auto& [host, peer] : peers_) {
-    if (!std::exchange(peer.is_greeted, true)) {
-      out.Send(host, Hello());
-    }
+  for (const HostId& it : peers_.TakeUngreeted()) {
+    out.Send(it, Hello());
   }
 }
 
 void PublishedFeed::OnLinkDown(const HostId& host, TimePoint /*now*/) {
-  peers_.erase(host);
+  peers_.OnLinkDown(host);
 }
 
-bool PublishedFeed::Follows(const Peer& peer) const {
-  return peer.hello && peer.hello->rank > rank_;
-}
-
-bool PublishedFeed::IsFeeder(const Peer& peer) const {
-  return peer.hello && peer.hello->rank < rank_;
-}
-
-bool PublishedFeed::IsSeed(const Peer& peer) {
-  return peer.hello && peer.hello->rank != FeedHello::kNoSeed;
-}
-
-bool PublishedFeed::HasNewsFor(const Peer& peer) const {
+bool PublishedFeed::HasNewsFor(const FeedPeer& peer) const {
   const bool is_behind = peer.sent < view_.revision();
   const bool is_older = peer.sent_confirmed < *confirmed_at_;
-  if (Follows(peer)) {
+  if (peers_.Follows(peer)) {
     return is_behind || is_older;
   }
-  return IsFeeder(peer) && peer.outage_at &&
+  return peers_.IsFeeder(peer) && peer.outage_at &&
          (is_behind || (is_older && IsReadingWell()));
 }
 
-bool PublishedFeed::HasWordOfOutage(const Peer& peer, TimePoint now) const {
-  return peer.outage_at && now - *peer.outage_at < options_.outage_word_holds;
-}
-
 bool PublishedFeed::KnowsOfOutage(TimePoint now) const {
-  return view_.routes() && std::ranges::any_of(peers_, [&](const auto& it) {
-           return HasWordOfOutage(it.second, now);
-         });
+  return view_.routes() &&
+         peers_.HaveWordOfOutage(options_.outage_word_holds, now);
 }
 
 void PublishedFeed::OnMessage(const HostId& host,
@@ -404,18 +321,18 @@
                               TimePoint now,
                               Outbox& out) {
   if (const auto* hello = std::get_if<FeedHello>(&message)) {
-    Peer& peer = peers_[host];
+    FeedPeer& peer = peers_.at(host);
     peer.hello = *hello;
     peer.sent = hello->revision;
     const bool is_behind =
         peer.sent < view_.revision() || peer.sent_confirmed == TimePoint();
-    if (Follows(peer) && confirmed_at_ && is_behind) {
+    if (peers_.Follows(peer) && confirmed_at_ && is_behind) {
       SendUpdate({host}, peer.sent, now, out);
     }
   } else if (const auto* update = std::get_if<FeedUpdate>(&message)) {
     Take(host, *update, now, out);
   } else if (const auto* outage = std::get_if<FeedOutage>(&message)) {
-    peers_[host].outage_at = now;
+    peers_.at(host).outage_at = now;
     told_hosts_ = outage->hosts > 0 ? outage->hosts : told_hosts_;
   }
 }
@@ -436,15 +353,16 @@
     view_.TakeChanges(update.changes, update.after_outage, now);
   }
   if (view_.TakeMissesBook()) {
-    out.Send(host, FeedHello{rank_, options_.address, 0, CountFollowers()});
+    out.Send(host,
+             FeedHello{rank_, options_.address, 0, peers_.CountFollowers()});
     return;
   }
   // One that knows less than this host confirms nothing.
   if (update.changes.current < view_.revision()) {
     return;
   }
-  Peer& peer = peers_[host];
-  if (IsFeeder(peer)) {
+  FeedPeer& peer = peers_.at(host);
+  if (peers_.IsFeeder(peer)) {
     told_hosts_ = update.hosts;
   }
   // A seed that this host reads for says it again, later by the time that
@@ -484,7 +402,7 @@
                                TimePoint now,
                                Outbox& out) {
   for (const HostId& it : to) {
-    Peer& peer = peers_[it];
+    FeedPeer& peer = peers_.at(it);
     peer.sent = view_.revision();
     peer.sent_confirmed = *confirmed_at_;
     ++counters_.updates_sent;
@@ -501,10 +419,10 @@
   }
   // Nearly all peers have the same already, and get the same update.
   std::map<Revision, std::vector<HostId>> behind;
-  for (const auto& [host, peer] : peers_) {
+  for (const auto& [host, peer] : peers_.all()) {
     if (HasNewsFor(peer)) {
       behind[peer.sent].push_back(host);
-      has_helped_ = has_helped_ || IsFeeder(peer);
+      has_helped_ = has_helped_ || peers_.IsFeeder(peer);
     }
   }
   for (auto& [after, hosts] : behind) {
@@ -514,19 +432,13 @@
 
 void PublishedFeed::TellOutage(TimePoint now, Outbox& out) {
   const bool asks_in_vain = reads_store_ && lost_contact_;
-  const bool is_concerned = rank_ != FeedHello::kNoSeed && !IsFed(now) &&
-                            (asks_in_vain || KnowsOfOutage(now));
+  const bool is_concerned =
+      IsSeed() && !IsFed(now) && (asks_in_vain || KnowsOfOutage(now));
   if (!is_concerned || now < next_outage_word_) {
     return;
   }
   next_outage_word_ = now + options_.outage_word;
-  std::vector<HostId> followers;
-  for (const auto& [host, peer] : peers_) {
-    if (Follows(peer)) {
-      followers.push_back(host);
-    }
-  }
-  out.SendToAll(std::move(followers), FeedOutage{KnownHosts()});
+  out.SendToAll(peers_.Followers(), FeedOutage{KnownHosts()});
 }
 
 TimePoint PublishedFeed::UnfedSince(TimePoint now) const {
@@ -538,39 +450,27 @@
     return;
   }
   next_hello_ = now + options_.hello;
-  const bool is_seed = rank_ != FeedHello::kNoSeed;
-  for (const auto& [host, peer] : peers_) {
-    if (IsFeeder(peer) || (is_seed && IsSeed(peer))) {
+  for (const auto& [host, peer] : peers_.all()) {
+    if (peers_.IsFeeder(peer) || (IsSeed() && peer.IsSeed())) {
       out.Send(host, Hello());
     }
   }
 }
 
-bool PublishedFeed::IsAttendedBy(const SocketAddress& seed,
-                                 TimePoint now) const {
-  return std::ranges::any_of(peers_, [&](const auto& it) {
-    const Peer& peer = it.second;
-    const bool feeds = peer.fed_at && now - *peer.fed_at < options_.seed_memory;
-    return peer.hello && peer.hello->address == seed &&
-           (feeds || HasWordOfOutage(peer, now));
-  });
-}
-
 std::vector<SocketAddress> PublishedFeed::WantedSeeds(TimePoint now) const {
-  std::vector<SocketAddress> seeds = options_.seeds;
-  if (rank_ != FeedHello::kNoSeed) {
+  if (IsSeed()) {
     // A seed follows those before it.
-    seeds.resize(static_cast<std::size_t>(rank_));
-    return seeds;
+    return {options_.seeds.begin(), options_.seeds.begin() + rank_};
   }
-  std::ranges::sort(seeds, {}, [&](const SocketAddress& it) {
-    return PreferenceOf(options_, it);
-  });
+  std::vector<SocketAddress> seeds =
+      InOrderFor(options_.self, options_.address, options_.seeds);
   // Links to seeds that come before the one that attends to this host stay
   // wanted, and it moves to them once they do. A host dropped the link that fed
   // it in favour of a seed that did not, and had it again a second later.
-  const auto attending = std::ranges::find_if(
-      seeds, [&](const SocketAddress& it) { return IsAttendedBy(it, now); });
+  const auto attending =
+      std::ranges::find_if(seeds, [&](const SocketAddress& it) {
+        return peers_.IsAttendedBy(it, options_, now);
+      });
   const bool is_attended = attending != seeds.end();
   const auto kept =
       is_attended ? static_cast<std::size_t>(attending - seeds.begin()) + 1 : 1;
--- /dev/null
+++ b/fleet/seed_order.cc
@@ -0,0 +1,40 @@
+#include "fleet/seed_order.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace damasktack {
+
+namespace {
+
+struct SeedPreference {
+  std::ptrdiff_t differs_at = 0;
+  std::uint64_t hash = 0;
+
+  auto operator<=>(const SeedPreference&) const = default;
+};
+
+SeedPreference PreferenceOf(const HostId& host,
+                            const SocketAddress& own,
+                            const SocketAddress& seed) {
+  const auto differs =
+      std::ranges::mismatch(own.ip, seed.ip).in1 - own.ip.begin();
+  const std::string text = host.text() + " " + ToString(seed);
+  return {-differs, XXH3_64bits(text.data(), text.size())};
+}
+
+}  // namespace
+
+std::vector<SocketAddress> InOrderFor(const HostId& host,
+                                      const SocketAddress& own,
+                                      std::vector<SocketAddress> seeds) {
+  std::ranges::sort(seeds, {}, [&](const SocketAddress& it) {
+    return PreferenceOf(host, own, it);
+  });
+  return seeds;
+}
+
+}  // namespace damasktack
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -50,6 +50,12 @@
   return options;
 }
 
+void WriteCounter(std::ostream& out,
+                  std::string_view name,
+                  std::uint64_t value) {
+  out << "# TYPE " << name << " counter\n" << name << " " << value << "\n";
+}
+
 // "none" without any, so that a line of the log has the same fields always.
 std::string Join(const std::vector<std::string>& names) {
   std::string text;
@@ -221,19 +227,24 @@
   const FeedCounters feed = published_.counters();
   const Duration age = published_.Age(Clock::now()).value_or(Duration(-1));
   std::ostringstream out;
-  out << state_.RenderMetrics(Clock::now())
-      << "# TYPE damasktack_store_reads_total counter\n"
-      << "damasktack_store_reads_total " << feed.reads << "\n"
-      << "# TYPE damasktack_store_watches_total counter\n"
-      << "damasktack_store_watches_total " << feed.watches << "\n"
-      << "# TYPE damasktack_store_failures_total counter\n"
-      << "damasktack_store_failures_total " << feed.failures << "\n"
-      << "# TYPE damasktack_feed_updates_received_total counter\n"
-      << "damasktack_feed_updates_received_total " << feed.updates_received
-      << "\n"
-      << "# TYPE damasktack_feed_updates_sent_total counter\n"
-      << "damasktack_feed_updates_sent_total " << feed.updates_sent << "\n"
-      << "# TYPE damasktack_store_reader gauge\n"
+  out << state_.RenderMetrics(Clock::now());
+  WriteCounter(out, "damasktack_store_reads_total", feed.reads);
+  WriteCounter(out, "damasktack_store_watches_total", feed.watches);
+  WriteCounter(out, "damasktack_store_failures_total", feed.failures);
+  WriteCounter(out, "damasktack_feed_updates_received_total",
+               feed.updates_received);
+  WriteCounter(out, "damasktack_feed_updates_sent_total", feed.updates_sent);
+  if (transport_) {
+    const TransportCounters links = transport_->counters();
+    WriteCounter(out, "damasktack_peer_links_opened_total", links.links_opened);
+    WriteCounter(out, "damasktack_peer_frames_sent_total", links.frames_sent);
+    WriteCounter(out, "damasktack_peer_bytes_sent_total", links.bytes_sent);
+    WriteCounter(out, "damasktack_peer_bytes_received_total",
+                 links.bytes_received);
+    WriteCounter(out, "damasktack_peer_frames_dropped_total",
+                 links.frames_dropped);
+  }
+  out << "# TYPE damasktack_store_reader gauge\n"
       << "damasktack_store_reader " << published_.reads_store() << "\n"
       << "# TYPE damasktack_published_age_seconds gauge\n"
       << "damasktack_published_age_seconds "
