A stop waits for calls for as long as the platform does

A stop ended after 2.5 + 3 s whatever the platform allows; where that is 10 s, 4 s more were to be had. Change: stop.grace_seconds, filled in by the platform's template; calls are waited for until a twelfth of it is left (5.5 s of 6 as before, 9.2 s of 10). Ruled out: the feed (the host had its routes and endpoints). Test: a call of 0.9 s with a longest wait of none; by that it would be cut.

--- a/main/settings.h
+++ b/main/settings.h
@@ -57,6 +57,10 @@
   Duration lag = std::chrono::seconds(5);
   // The longest wait for calls in flight after that.
   Duration longest = std::chrono::minutes(2);
+  // In seconds: when the platform ends a process that was told to stop. Where
+  // it is above 0, calls in flight are waited for until shortly before that, in
+  // place of `longest`.
+  double grace_seconds = 0;
 };
 
 // Everything one daemon is told when it starts.
--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -189,6 +189,10 @@
                "the platform's balancer has time to notice");
   visitor.Time("longest", options.longest, seconds(1), hours(1),
                "longest wait for calls in flight after that");
+  visitor.Number("grace_seconds", options.grace_seconds, 0, 3600, "seconds",
+                 "after which the platform ends a host that was told to stop; "
+                 "above 0 calls are waited for until a twelfth of it is left, "
+                 "whatever longest says");
 }
 
 template <typename Visitor>
--- a/main/settings_snapshot.cc
+++ b/main/settings_snapshot.cc
@@ -11,8 +11,8 @@
 
 // Settings that a running host takes in. All others shape what it opened when
 // it started: sockets, threads, the balancers of its services.
-constexpr std::array<std::string_view, 3> kTakenWhileRunning = {
-    "fleet.seeds", "stop.lag", "stop.longest"};
+constexpr std::array<std::string_view, 4> kTakenWhileRunning = {
+    "fleet.seeds", "stop.lag", "stop.longest", "stop.grace_seconds"};
 
 SettingsSnapshot SnapshotOf(Settings settings) {
   SettingsSnapshot snapshot("");
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -50,6 +50,18 @@
   return options;
 }
 
+// How long a stop may take. A host that gave up calls after a fixed time cut
+// one that its endpoint had worked on for 4 s, although the platform would have
+// waited for 4 s more; the twelfth is for ending the process on a busy host.
+Duration LongestStop(const StopOptions& stop) {
+  if (stop.grace_seconds <= 0) {
+    return stop.lag + stop.longest;
+  }
+  constexpr double kUsed = 11.0 / 12;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(stop.grace_seconds * kUsed));
+}
+
 void WriteCounter(std::ostream& out,
                   std::string_view name,
                   std::uint64_t value) {
@@ -184,8 +196,7 @@
   // From now on answers close their connections, so that callers move away
   // while the platform's balancer has not noticed yet.
   state_.SetStopping();
-  const TimePoint last =
-      Clock::now() + settings_.stop.lag + settings_.stop.longest;
+  const TimePoint last = Clock::now() + LongestStop(settings_.stop);
   std::this_thread::sleep_for(settings_.stop.lag);
   callers_.BeginStopping();
   std::this_thread::sleep_for(kIdleEndTime);
--- a/tests/main/test_store_daemon.cc
+++ b/tests/main/test_store_daemon.cc
@@ -169,6 +169,33 @@
   CHECK(status == 200);
 }
 
+// A caller's report takes longer than most, and the host is told to stop while
+// its endpoint works on it. The platform would wait long enough; the host gave
+// up after a time of its own, and the caller lost an answer that was on its
+// way.
+TEST_CASE("a stop waits for calls for as long as the platform does") {
+  const CallEndpoint endpoint(milliseconds(900));
+  StandinStore store;
+  store.PutJson("op/config", Book(3, "/x/"));
+  store.PutJson("servers/i-1", Endpoint(endpoint.port()));
+  Settings settings = MakeSettings(store.port());
+  settings.stop.longest = milliseconds(0);
+  settings.stop.grace_seconds = 5;
+  StoreDaemon daemon(settings);
+  Try([&] { return daemon.Start(); },
+      [](const Error& error) { FAIL(ToString(error)); });
+  REQUIRE(Eventually([&] { return daemon.Ready(); }));
+  int status = 0;
+  std::thread caller([&] {
+    const auto answer = Ask(daemon, "/x/1");
+    status = answer ? answer->status : 0;
+  });
+  REQUIRE(Eventually([&] { return daemon.Host().calls_in_flight > 0; }));
+  daemon.Stop();
+  caller.join();
+  CHECK(status == 200);
+}
+
 // Settings change while a call is at its endpoint. The call gets its answer,
 // and what the change says of the stop holds at the next stop: by the settings
 // of the start it would last ten minutes.
