Drains of zones are read, passed on and obeyed

Cause: nothing read the operator's drains of zones.

Change: the adapter decodes a drain into ZoneDrain; the key alone counts, whatever stands under it. DrainedZones keeps the newest word on each zone; it goes up by revision like all that is published, ends with a whole read that does not name it, and passes between hosts with the updates. Endpoints of a drained zone count as leaving: no new calls, probes or repeats, and what is in hand ends in peace. With nothing left a call is refused as not run. The early read of a host that starts takes the drains with the routes.

Ruled out: a drain as one more state of each endpoint's entry. A zone that gains an endpoint while it is drained would have let calls in until the next drain.

Tests: older word, whole reads, a feeder that began later, generated schedules of kills, freezes and cuts with and without early reads, the adapter, the balancer.

--- a/contract/service.h
+++ b/contract/service.h
@@ -32,6 +32,13 @@
   std::int64_t connections = 250;
   ListedState state = ListedState::kLive;
   EndpointStart started_at{};
+  // The operator has drained its zone.
+  bool zone_drained = false;
+
+  // Whether new calls may go there by what is published.
+  bool MayTakeCalls() const {
+    return state == ListedState::kLive && !zone_drained;
+  }
 
   bool operator==(const EndpointSpec&) const = default;
   // Whether both speak of one process, so that what was measured of it holds.
--- a/fleet/early_part.cc
+++ b/fleet/early_part.cc
@@ -21,10 +21,18 @@
 
 }  // namespace
 
+namespace {
+
 bool IsBook(const PublishedItem& item) {
   return std::holds_alternative<RouteBook>(item.value);
 }
 
+}  // namespace
+
+bool IsOfOperator(const PublishedItem& item) {
+  return IsBook(item) || std::holds_alternative<ZoneDrain>(item.value);
+}
+
 bool ServesEachRoute(const PublishedItems& items) {
   const auto book = std::ranges::find_if(items.items, IsBook);
   if (book == items.items.end()) {
--- a/fleet/early_part.h
+++ b/fleet/early_part.h
@@ -7,7 +7,8 @@
 
 // Of what a host that starts has read first.
 
-bool IsBook(const PublishedItem& item);
+// Whether the operator published it, and not an endpoint.
+bool IsOfOperator(const PublishedItem& item);
 // Whether the items have a book and enough endpoints for each of its services.
 bool ServesEachRoute(const PublishedItems& items);
 
--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -208,7 +208,8 @@
   copied_at_ = now;
   if (part_) {
     all.current = std::min(all.current, part_->current);
-    std::ranges::copy_if(part_->items, std::back_inserter(all.items), IsBook);
+    std::ranges::copy_if(part_->items, std::back_inserter(all.items),
+                         IsOfOperator);
     part_.reset();
   }
   view_.TakeAll(all, false, now);
@@ -389,6 +390,7 @@
   update.changes = view_.ChangesAfter(after);
   if (update.whole) {
     update.present = view_.UnchangedSince(after);
+    view_.drained_zones().AddInForceUpTo(after, update.changes);
   }
   update.after_outage = IsAfterOutage(now);
   update.hosts = KnownHosts();
--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -181,7 +181,9 @@
     if (has_new_size) {
       told_hosts_ = hosts;
     }
-    state = {feed_.view().routes(), feed_.view().Endpoints(), told_hosts_};
+    const PublishedView& view = feed_.view();
+    state = {view.routes(), view.Endpoints(), view.drained_zones().InForce(),
+             told_hosts_};
   }
   lock.unlock();
   if (changed) {
--- a/fleet/published_loop.h
+++ b/fleet/published_loop.h
@@ -18,6 +18,8 @@
 struct PublishedState {
   std::shared_ptr<const RouteBook> routes;
   std::vector<PublishedEndpoint> endpoints;
+  // Their endpoints are to get no calls.
+  std::vector<ZoneId> drained_zones;
   // Hosts that share the endpoints; 0 where it is not known.
   std::int64_t hosts = 0;
 };
--- a/fleet/published_messages.cc
+++ b/fleet/published_messages.cc
@@ -56,6 +56,37 @@
   return {};
 }
 
+// Rows of a revision, a zone and whether its drain is in force.
+Json ZoneDrainsToJson(const std::vector<PublishedItem>& items) {
+  Json rows = Json::array();
+  for (const PublishedItem& it : items) {
+    if (const auto* drain = std::get_if<ZoneDrain>(&it.value)) {
+      rows.push_back(
+          Json::array({it.revision, drain->zone.text(), drain->in_force}));
+    }
+  }
+  return rows;
+}
+
+leaf::result<void> ParseZoneDrains(const Json& json,
+                                   const std::string& path,
+                                   std::vector<PublishedItem>& items) {
+  for (const Json& it : json) {
+    const bool is_row = it.is_array() && it.size() == 3 &&
+                        it[0].is_number_unsigned() && it[1].is_string() &&
+                        it[2].is_boolean();
+    if (!is_row) {
+      return Fail(ErrorKind::kWrongType, path,
+                  "something else than a revision, a zone and a flag",
+                  "check that the sender is a daemon of this system");
+    }
+    items.push_back(
+        {it[0].get<Revision>(),
+         ZoneDrain{ZoneId(it[1].get<std::string>()), it[2].get<bool>()}});
+  }
+  return {};
+}
+
 Json IdsToJson(const std::vector<EndpointId>& ids) {
   Json json = Json::array();
   for (const EndpointId& it : ids) {
@@ -103,6 +134,7 @@
     json["books"] = std::move(books);
     json["endpoints"] = EndpointsToJson(changes.items);
     json["removed"] = RemovalsToJson(changes.items);
+    json["zone_drains"] = ZoneDrainsToJson(changes.items);
   }
   if (!present.empty()) {
     json["present"] = IdsToJson(present);
@@ -126,6 +158,7 @@
   const Json* books = reader.OptionalArray("books");
   const Json* endpoints = reader.OptionalObject("endpoints");
   const Json* removed = reader.OptionalArray("removed");
+  const Json* drains = reader.OptionalArray("zone_drains");
   BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
   std::vector<PublishedItem>& items = update.changes.items;
   if (books != nullptr) {
@@ -137,6 +170,9 @@
   if (removed != nullptr) {
     BOOST_LEAF_CHECK(ParseRemovals(*removed, path, items));
   }
+  if (drains != nullptr) {
+    BOOST_LEAF_CHECK(ParseZoneDrains(*drains, path, items));
+  }
   std::ranges::stable_sort(items, {}, &PublishedItem::revision);
   for (std::string& it : present) {
     update.present.emplace_back(std::move(it));
--- a/fleet/published_source.h
+++ b/fleet/published_source.h
@@ -31,6 +31,15 @@
   bool operator==(const UnusableEndpoint&) const = default;
 };
 
+// The operator wants no calls sent to the endpoints of a zone, or has taken
+// that back.
+struct ZoneDrain {
+  ZoneId zone;
+  bool in_force = false;
+
+  bool operator==(const ZoneDrain&) const = default;
+};
+
 // A value that could not be read; the last good one stays in force.
 struct UnreadableValue {
   Error error;
@@ -44,6 +53,7 @@
                                     PublishedEndpoint,
                                     RemovedEndpoint,
                                     UnusableEndpoint,
+                                    ZoneDrain,
                                     UnreadableValue>;
 
 struct PublishedItem {
@@ -62,9 +72,9 @@
   bool operator==(const PublishedItems&) const = default;
 };
 
-// Routes and endpoints as the platform publishes them: read and watched, never
-// written. Errors: kStale where the changes after a revision are no longer
-// kept, kUnreachable, kTimeout, kProtocol.
+// Routes, drains of zones and endpoints as the platform publishes them: read
+// and watched, never written. Errors: kStale where the changes after a revision
+// are no longer kept, kUnreachable, kTimeout, kProtocol.
 class PublishedSource {
  public:
   virtual ~PublishedSource() = default;
@@ -73,7 +83,8 @@
   // the oldest revision of a page, so that a watch from it misses nothing.
   virtual leaf::result<PublishedItems> ReadAll(Duration timeout) = 0;
   // Of any copy of the store, which is cheaper and perhaps seconds old: the
-  // routes, and a random sixteenth of the endpoints; then all endpoints.
+  // routes, the drains of zones and a random sixteenth of the endpoints; then
+  // all endpoints.
   virtual leaf::result<PublishedItems> ReadPart(Duration timeout) = 0;
   virtual leaf::result<PublishedItems> ReadEndpoints(Duration timeout) = 0;
   // Waits up to `wait` for changes after a revision.
--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -32,11 +32,9 @@
 void PublishedView::TakeAll(const PublishedItems& all,
                             bool after_outage,
                             TimePoint now) {
-  std::set<EndpointId> present;
+  Present present;
   for (const PublishedItem& it : all.items) {
-    if (const auto* endpoint = std::get_if<PublishedEndpoint>(&it.value)) {
-      present.insert(endpoint->spec.id);
-    }
+    present.Add(it.value);
     Take(it, after_outage, now);
     TellAnew(it);
   }
@@ -53,11 +51,9 @@
                                const std::vector<EndpointId>& present,
                                bool after_outage,
                                TimePoint now) {
-  std::set<EndpointId> listed(present.begin(), present.end());
+  Present listed{{present.begin(), present.end()}, {}};
   for (const PublishedItem& it : changes.items) {
-    if (const auto* endpoint = std::get_if<PublishedEndpoint>(&it.value)) {
-      listed.insert(endpoint->spec.id);
-    }
+    listed.Add(it.value);
     Take(it, after_outage, now);
     TellAnew(it);
   }
@@ -78,13 +74,21 @@
   }
 }
 
-void PublishedView::Retain(const std::set<EndpointId>& present,
+void PublishedView::Present::Add(const PublishedValue& value) {
+  if (const auto* endpoint = std::get_if<PublishedEndpoint>(&value)) {
+    endpoints.insert(endpoint->spec.id);
+  } else if (const auto* drain = std::get_if<ZoneDrain>(&value)) {
+    drained.insert(drain->zone);
+  }
+}
+
+void PublishedView::Retain(const Present& present,
                            Revision current,
                            bool after_outage,
                            TimePoint now) {
   std::vector<EndpointId> missing;
   for (const auto& [id, entry] : endpoints_) {
-    if (!present.contains(id) && entry.revision <= current) {
+    if (!present.endpoints.contains(id) && entry.revision <= current) {
       missing.push_back(id);
     }
   }
@@ -92,6 +96,8 @@
     Remember(it, current);
     Miss(it, after_outage, now);
   }
+  const bool has_ended = drained_zones_.Retain(present.drained, current);
+  changed_ = changed_ || has_ended;
   revision_ = std::max(revision_, current);
   if (!complete_after_) {
     complete_after_ = revision_;
@@ -133,10 +139,13 @@
       Miss(removed->id, after_outage, now);
     }
     Remember(removed->id, item.revision);
+  } else if (const auto* drain = std::get_if<ZoneDrain>(&item.value)) {
+    const bool is_news = drained_zones_.Take(*drain, item.revision);
+    changed_ = changed_ || is_news;
   } else {
     const Error& error = std::get<UnreadableValue>(item.value).error;
-    if (refused_book_ != error) {
-      refused_book_ = error;
+    if (unreadable_ != error) {
+      unreadable_ = error;
       refused_.push_back(error);
     }
   }
@@ -363,6 +372,7 @@
   PublishedItems changes;
   changes.current = revision_;
   AddRoutesAfter(after, changes);
+  drained_zones_.AddChangesAfter(after, changes);
   for (const auto& [id, entry] : endpoints_) {
     if (entry.told_revision <= after || entry.missing_since) {
       continue;
--- a/fleet/published_view.h
+++ b/fleet/published_view.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <vector>
 
+#include "fleet/drained_zones.h"
 #include "fleet/published_source.h"
 
 namespace damasktack {
@@ -36,7 +37,8 @@
   // Some of what is published; what is not in it may be so as well.
   void TakeSome(const PublishedItems& some, TimePoint now);
   // Changes of a feeder that cannot name each removal before them: endpoints
-  // that are neither in them nor in `present` are removed as above.
+  // that are neither in them nor in `present` are removed as above. All drains
+  // of zones that are in force are in them.
   void TakeAllBut(const PublishedItems& changes,
                   const std::vector<EndpointId>& present,
                   bool after_outage,
@@ -53,6 +55,7 @@
   // Null before the first that could be read.
   const std::shared_ptr<const RouteBook>& routes() const { return routes_; }
   std::vector<PublishedEndpoint> Endpoints() const;
+  const DrainedZones& drained_zones() const { return drained_zones_; }
   // Endpoints that peers which know everything up to a revision have as they
   // are.
   std::vector<EndpointId> UnchangedSince(Revision revision) const;
@@ -90,7 +93,14 @@
 
   void Take(const PublishedItem& item, bool after_outage, TimePoint now);
   void TellAnew(const PublishedItem& item);
-  void Retain(const std::set<EndpointId>& present,
+  // What a whole read or its like names.
+  struct Present {
+    std::set<EndpointId> endpoints;
+    std::set<ZoneId> drained;
+
+    void Add(const PublishedValue& value);
+  };
+  void Retain(const Present& present,
               Revision current,
               bool after_outage,
               TimePoint now);
@@ -128,10 +138,11 @@
   std::map<EndpointId, Revision> removed_;
   // From which revision on `removed_` names all removals.
   std::optional<Revision> complete_after_;
+  DrainedZones drained_zones_;
   std::vector<Error> refused_;
   // The last revision that was refused, so that it is told once.
   std::map<EndpointId, Revision> refused_endpoints_;
-  std::optional<Error> refused_book_;
+  std::optional<Error> unreadable_;
   Revision revision_ = 0;
   bool changed_ = false;
 };
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -77,6 +77,14 @@
   return text.empty() ? "none" : text;
 }
 
+std::string JoinZones(const std::vector<ZoneId>& zones) {
+  std::vector<std::string> names;
+  for (const ZoneId& it : zones) {
+    names.push_back(it.text());
+  }
+  return Join(names);
+}
+
 std::unique_ptr<WebsocketTransport> MakeTransport(const Settings& settings,
                                                   PeerTransportEvents& events) {
   if (!settings.fleet.enabled) {
@@ -114,6 +122,8 @@
     }
     EndpointSpec spec = it.spec;
     spec.connections = connections[it.service];
+    spec.zone_drained = std::ranges::find(state.drained_zones, spec.zone) !=
+                        state.drained_zones.end();
     service->second.endpoints.push_back(std::move(spec));
   }
   std::vector<ServiceSpec> list;
@@ -185,9 +195,10 @@
       });
   spdlog::info(
       "event=published-in-force version={} routes={} endpoints={} "
-      "leaving={} hosts={}",
+      "leaving={} drained_zones={} hosts={}",
       state.routes->version, state.routes->routes.size(),
-      state.endpoints.size(), leaving, state.hosts);
+      state.endpoints.size(), leaving, JoinZones(state.drained_zones),
+      state.hosts);
 }
 
 void StoreDaemon::Stop() {
--- a/policy/endpoint_record.h
+++ b/policy/endpoint_record.h
@@ -34,7 +34,8 @@
   std::int32_t trial_answers = 0;
 
   bool listed = true;
-  // The list says that it leaves; no report takes that back.
+  // The list says that it leaves, or that its zone is drained; no report takes
+  // that back.
   bool listed_as_leaving = false;
   // It said itself that it drains, last at the time given.
   bool drain_reported = false;
--- a/policy/endpoint_roster.cc
+++ b/policy/endpoint_roster.cc
@@ -48,13 +48,14 @@
 }
 
 void EndpointRoster::OnListed(EndpointIndex index,
-                              ListedState state,
+                              const EndpointSpec& spec,
                               TimePoint now) {
   EndpointRecord& record = records_[index];
   const bool was_leaving = record.listed_as_leaving;
-  record.listed_as_leaving = state == ListedState::kLeaving;
+  record.listed_as_leaving = !spec.MayTakeCalls();
   if (record.listed_as_leaving) {
-    Follow(index, EndpointEvent::kDrains, "list", now);
+    Follow(index, EndpointEvent::kDrains,
+           spec.zone_drained ? "zone drained" : "list", now);
   } else if (was_leaving && !record.drain_reported) {
     Follow(index, EndpointEvent::kServes, "list", now);
   }
--- a/policy/endpoint_roster.h
+++ b/policy/endpoint_roster.h
@@ -20,7 +20,7 @@
   // host that has just started knows nothing, but the endpoints are not new.
   EndpointIndex Add(bool taken_as_warm, TimePoint now);
   // What the list says of an endpoint, and that it says nothing any more.
-  void OnListed(EndpointIndex index, ListedState state, TimePoint now);
+  void OnListed(EndpointIndex index, const EndpointSpec& spec, TimePoint now);
   void OnUnlisted(EndpointIndex index, TimePoint now);
 
   void OnReportedMode(EndpointIndex index, EndpointMode mode, TimePoint now);
--- a/policy/endpoint_table.cc
+++ b/policy/endpoint_table.cc
@@ -67,7 +67,7 @@
   EndpointRecord& record = roster_.record(*index);
   record.slots = static_cast<double>(std::max<std::int64_t>(spec.slots, 1));
   record.other_zone = spec.zone != options_.zone;
-  roster_.OnListed(*index, spec.state, now);
+  roster_.OnListed(*index, spec, now);
 }
 
 double EndpointTable::ZoneCost() const {
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -101,7 +101,7 @@
   EndpointRecord& record = roster_.record(index);
   record.slots = static_cast<double>(std::max<std::int64_t>(spec.slots, 1));
   record.other_zone = spec.zone != options_.zone;
-  roster_.OnListed(index, spec.state, now);
+  roster_.OnListed(index, spec, now);
 }
 
 void MeasuredEndpoints::DrawPreference() {
--- a/tests/fleet/feed_world.h
+++ b/tests/fleet/feed_world.h
@@ -90,6 +90,12 @@
     }
   }
 
+  // The operator drains a zone, or takes that back.
+  void ToggleDrain(const std::string& zone) {
+    Drain& drain = drains_[zone];
+    drain = {!drain.in_force, ++revision_, now_};
+  }
+
   // Settings that name other seeds, taken in by all that run.
   void SetSeeds(const std::vector<std::string>& seeds) {
     std::vector<SocketAddress> addresses;
@@ -173,6 +179,20 @@
     }
     return lacking;
   }
+  // Zones whose drain began or ended `bound` ago or earlier and of which a host
+  // believes the opposite.
+  std::vector<std::string> Mistaken(const Host& host, Duration bound) const {
+    const auto believed = host.feed->view().drained_zones().InForce();
+    std::vector<std::string> mistaken;
+    for (const auto& [zone, drain] : drains_) {
+      const bool is_believed =
+          std::ranges::find(believed, ZoneId(zone)) != believed.end();
+      if (is_believed != drain.in_force && now_ - drain.since > bound) {
+        mistaken.push_back(zone);
+      }
+    }
+    return mistaken;
+  }
   // Whether a host has the routes of a published version, or none.
   bool HasTrueBook(const Host& host) const {
     const auto& routes = host.feed->view().routes();
@@ -316,6 +336,13 @@
     if (book_revision_ > after) {
       items.items.push_back({book_revision_, book_});
     }
+    for (const auto& [zone, it] : drains_) {
+      // A read names those in force, a watch also those that ended.
+      if (it.revision > after && (it.in_force || after > 0)) {
+        items.items.push_back(
+            {it.revision, ZoneDrain{ZoneId(zone), it.in_force}});
+      }
+    }
     for (const auto& [id, it] : endpoints_) {
       if (it.first > after) {
         items.items.push_back({it.first, it.second});
@@ -349,6 +376,12 @@
     }
   }
 
+  struct Drain {
+    bool in_force = false;
+    Revision revision = 0;
+    TimePoint since;
+  };
+
   // Enough that one route more is a small change.
   static constexpr std::size_t kMostRoutes = 12;
 
@@ -364,6 +397,7 @@
   Revision book_revision_ = 0;
   std::map<std::string, std::pair<Revision, PublishedEndpoint>> endpoints_;
   std::map<std::string, TimePoint> added_at_;
+  std::map<std::string, Drain> drains_;
   std::map<std::string, std::pair<Revision, TimePoint>> removed_;
   Revision revision_ = 0;
   std::uint64_t store_calls_ = 0;
--- a/tests/fleet/test_published_feed.cc
+++ b/tests/fleet/test_published_feed.cc
@@ -522,6 +522,64 @@
   CHECK(std::get<FeedHello>(items[0].message).revision == 0);
 }
 
+enum class Disruption : std::uint8_t { kKill, kStart, kFreeze, kCut };
+
+// A freeze or a cut of a host that is in one ends it.
+void Disrupt(FeedWorld& world, const std::string& name, Disruption kind) {
+  const FeedWorld::Host& host = world.hosts().at(name);
+  if (kind == Disruption::kStart) {
+    if (!host.is_up) {
+      world.Start(name);
+    }
+  } else if (!host.is_up) {
+    return;
+  } else if (kind == Disruption::kFreeze) {
+    world.Freeze(name, !host.is_frozen);
+  } else if (!host.is_frozen && kind == Disruption::kKill) {
+    world.Kill(name);
+  } else if (!host.is_frozen) {
+    world.CutFromStore(name, host.reaches_store);
+  }
+}
+
+bool IsWell(const FeedWorld& world, const FeedWorld::Host& host) {
+  return host.is_up && !host.is_frozen && host.reaches_store &&
+         world.now() - host.well_since > kWellFor;
+}
+
+// Calls go into a zone that the operator has emptied for a repair, or none go
+// to one that was given back. The drain begins or ends while hosts are killed,
+// started, frozen or cut from the store, and the hosts that feed others may not
+// have seen it: whoever has been well for three seconds knows within two.
+TEST_CASE("generated schedules: drains of zones are in force in time") {
+  spdlog::set_level(spdlog::level::off);
+  for (const bool early_read : {false, true}) {
+    CHECK(rc::check("drains", [&] {
+      FeedWorld world(7, 3, early_read);
+      world.AddEndpoint("e0");
+      world.Run(seconds(3));
+      const int events = *rc::gen::inRange(5, 25);
+      for (int n = 0; n < events; ++n) {
+        const int kind = *rc::gen::inRange(0, 8);
+        if (kind < 4) {
+          world.ToggleDrain("z" + std::to_string(kind % 2));
+        } else {
+          Disrupt(world, "h" + std::to_string(*rc::gen::inRange(0, 7)),
+                  static_cast<Disruption>(kind - 4));
+        }
+        const int steps = *rc::gen::inRange(1, 80);
+        for (int step = 0; step < steps; ++step) {
+          world.Run(FeedWorld::kStep);
+          for (const auto& [name, host] : world.hosts()) {
+            RC_ASSERT(!IsWell(world, host) ||
+                      world.Mistaken(host, kInForce).empty());
+          }
+        }
+      }
+    }));
+  }
+}
+
 // Whatever happens to hosts, links and the store's reachability, and in
 // whatever order: a host that has been well for three seconds knows every
 // removal and every endpoint that is two seconds old, and no host ever goes
@@ -539,7 +597,6 @@
     const int events = *rc::gen::inRange(5, 25);
     for (int n = 0; n < events; ++n) {
       const std::string host = "h" + std::to_string(*rc::gen::inRange(0, 7));
-      FeedWorld::Host& it = world.hosts().at(host);
       switch (*rc::gen::inRange(0, 10)) {
         case 8:
           // A lease that lapsed: the same endpoint is published again.
@@ -562,33 +619,22 @@
                                std::to_string(*rc::gen::inRange(0, endpoints)));
           break;
         case 4:
-          if (it.is_up && !it.is_frozen) {
-            world.Kill(host);
-          }
+          Disrupt(world, host, Disruption::kKill);
           break;
         case 5:
-          if (!it.is_up) {
-            world.Start(host);
-          }
+          Disrupt(world, host, Disruption::kStart);
           break;
         case 6:
-          if (it.is_up) {
-            world.Freeze(host, !it.is_frozen);
-          }
+          Disrupt(world, host, Disruption::kFreeze);
           break;
         default:
-          if (it.is_up && !it.is_frozen) {
-            world.CutFromStore(host, it.reaches_store);
-          }
+          Disrupt(world, host, Disruption::kCut);
       }
       const int steps = *rc::gen::inRange(1, 80);
       for (int step = 0; step < steps; ++step) {
         world.Run(FeedWorld::kStep);
         for (auto& [name, checked] : world.hosts()) {
-          const bool is_well = checked.is_up && !checked.is_frozen &&
-                               checked.reaches_store &&
-                               world.now() - checked.well_since > kWellFor;
-          if (is_well) {
+          if (IsWell(world, checked)) {
             RC_ASSERT(world.Overdue(checked, kInForce).empty());
             RC_ASSERT(world.Lacking(checked, kInForce).empty());
           }
@@ -641,8 +687,10 @@
   update.changes = {{{9, book},
                      {10, endpoint},
                      {11, RemovedEndpoint{EndpointId("g")}},
-                     {12, change}},
-                    12};
+                     {12, change},
+                     {13, ZoneDrain{ZoneId("z"), true}},
+                     {14, ZoneDrain{ZoneId("y"), false}}},
+                    14};
   update.present = {EndpointId("p"), EndpointId("q")};
   Try(
       [&]() -> leaf::result<void> {
@@ -654,9 +702,11 @@
         CHECK(read.hosts == 17);
         CHECK(read.age == update.age);
         CHECK(read.reader == 99);
-        CHECK(read.changes.current == 12);
+        CHECK(read.changes.current == 14);
         CHECK(read.present == update.present);
-        REQUIRE(read.changes.items.size() == 4);
+        REQUIRE(read.changes.items.size() == 6);
+        CHECK(read.changes.items[4] == update.changes.items[4]);
+        CHECK(read.changes.items[5] == update.changes.items[5]);
         CHECK(std::get<RouteBookChange>(read.changes.items[3].value) == change);
         CHECK(std::get<RouteBook>(read.changes.items[0].value) == book);
         CHECK(std::get<PublishedEndpoint>(read.changes.items[1].value) ==
--- a/tests/platform/test_kv_client.cc
+++ b/tests/platform/test_kv_client.cc
@@ -177,6 +177,43 @@
   CHECK(unreadable == 1);
 }
 
+// Requests reach a zone that is drained: the drain's key is there, and nobody
+// looks at it. Whatever stands under the key, it drains the zone it names; one
+// that names none costs only itself, and the end of a drain is an event.
+TEST_CASE("drains of zones are read, in parts and by watches too") {
+  StandinStore store(2);
+  store.PutJson("op/config", kBook);
+  store.PutJson("op/evacuate/evora-a", "{}");
+  store.Put("op/evacuate/beja-b", "?");
+  store.PutJson("op/evacuate/", "{}");
+  store.PutJson("op/evacuate/a b", "{}");
+  KvClient client({"127.0.0.1", store.port()});
+  const auto drained = [](const PublishedItems& items, const char* zone) {
+    const ZoneDrain wanted{ZoneId(zone), true};
+    return std::ranges::any_of(items.items, [&](const PublishedItem& it) {
+      return it.value == PublishedValue(wanted);
+    });
+  };
+  const auto all =
+      Require<PublishedItems>([&] { return client.ReadAll(seconds(2)); });
+  const auto part =
+      Require<PublishedItems>([&] { return client.ReadPart(seconds(2)); });
+  for (const PublishedItems& it : {all, part}) {
+    CHECK(it.items.size() == 5);
+    CHECK(drained(it, "evora-a"));
+    CHECK(drained(it, "beja-b"));
+    CHECK(std::ranges::count_if(it.items, [](const PublishedItem& item) {
+            return std::holds_alternative<UnreadableValue>(item.value);
+          }) == 2);
+  }
+  store.Remove("op/evacuate/evora-a");
+  const auto events = Require<PublishedItems>(
+      [&] { return client.Watch(all.current, seconds(2)); });
+  REQUIRE(events.items.size() == 1);
+  CHECK(events.items[0].value ==
+        PublishedValue(ZoneDrain{ZoneId("evora-a"), false}));
+}
+
 // A host that has just started is to serve by a part of what is published.
 TEST_CASE("a part holds the routes and the endpoints of one digit") {
   StandinStore store(4);
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -112,6 +112,51 @@
   CHECK(out.dispatches[0].endpoint == 5);
 }
 
+// The operator has drained a zone for a repair, and calls still go there, or
+// looks at its endpoints do. What is in hand there ends in peace; with nothing
+// left the caller hears that its call was not run; and the zone serves again
+// once it is given back.
+TEST_CASE("a drained zone gets no calls and no probes") {
+  Harness harness(8);
+  const auto set_drained = [&](std::initializer_list<const char*> zones) {
+    ServiceSpec service = MakeService(8);
+    for (EndpointSpec& it : service.endpoints) {
+      it.zone_drained = std::ranges::count(zones, it.zone.text()) > 0;
+    }
+    harness.balancer.SetService(service, 1, harness.now);
+  };
+  const CallOffer before = MakeCall(1, harness.now);
+  Decisions out = harness.Offer(before);
+  REQUIRE(out.dispatches.size() == 1);
+  REQUIRE(out.dispatches[0].endpoint % 2 == 0);
+
+  set_drained({"near"});
+  for (CallToken token = 2; token < 8; ++token) {
+    Decisions next;
+    harness.balancer.Offer(MakeCall(token, harness.now), harness.now, next);
+    while (const auto probe = harness.balancer.NextProbe(harness.now)) {
+      CHECK(*probe % 2 == 1);
+      harness.balancer.Report(*probe, MakeReport(0, 1), harness.now, next);
+    }
+    REQUIRE(next.dispatches.size() == 1);
+    CHECK(next.dispatches[0].endpoint % 2 == 1);
+  }
+  CHECK(harness.End(before, out.dispatches[0].endpoint, SendResult::kAnswered,
+                    out) == AfterSend::kDone);
+
+  set_drained({"near", "far"});
+  harness.Offer(MakeCall(8, harness.now));
+  const Decisions refused = harness.Tick(milliseconds(200));
+  REQUIRE(refused.rejections.size() == 1);
+  CHECK(refused.rejections[0].refusal == Refusal::kNoEndpoint);
+
+  set_drained({});
+  harness.now += milliseconds(500);
+  const Decisions back = harness.Offer(MakeCall(9, harness.now));
+  REQUIRE(back.dispatches.size() == 1);
+  CHECK(back.dispatches[0].endpoint % 2 == 0);
+}
+
 // A dock command is refused although most endpoints are free. One of them is
 // gone, the address is another's, and the list says so seconds later: no call
 // tries it again before that, and none after a look at it.
