Calls to cold endpoints keep to what these tolerate from all hosts

Cause: cold_s and cold_per_s of services and the cold time of health answers were not read, and nothing bounded what a cold endpoint gets from all hosts together.

Change: ColdEndpoints keeps what is known of each endpoint: by its entry, by its answers to probes, and for cold_s from the end of a drain of its zone. Where the slots of an endpoint cannot take more calls a second than the bound, a call goes there only with a fresh report of a free slot. Elsewhere each host has its part of the rate, drawn by window, and sends to an idle endpoint only. A service without any place left refuses after the patience that holds for no endpoint.

Ruled out: sharing out all of the rate.

A test world's heartbeat halved the cold time whatever had passed, so that an endpoint never came to its end; it counts down by the time now, as an endpoint does. The bound of that test is as it was.

--- a/bench/load_experiment_bench.cc
+++ b/bench/load_experiment_bench.cc
@@ -51,12 +51,18 @@
   reader.ReadOptional("slow_factor", out.slow_factor, 1, 100);
   reader.ReadOptional("slow_for", out.slow_for, microseconds(1), hours(1));
   reader.ReadOptional("shed_part", out.shed_part, 0, 1);
+  reader.ReadOptional("cold_part", out.cold_part, 0, 1);
+  reader.ReadOptional("cold_from", out.cold_from, microseconds(0), hours(1));
+  reader.ReadOptional("cold_for", out.cold_for, microseconds(1), hours(1));
+  reader.ReadOptional("cold_factor", out.cold_factor, 1, 100);
+  reader.ReadOptional("cold_rate", out.cold_rate, 0, 1e6);
   return reader.Finish();
 }
 
 leaf::result<void> ReadLoad(const Json& json, EmulatedLoad& out) {
   JsonReader reader(json, "load");
   ReadInt(reader, "hosts", out.hosts);
+  ReadInt(reader, "believed_hosts", out.believed_hosts);
   ReadInt(reader, "caller_retries", out.caller_retries);
   reader.ReadOptional("calls_per_second", out.calls_per_second, 0.1, 1e6);
   reader.ReadOptional("middle_factor", out.middle_factor, 0, 100);
@@ -148,6 +154,10 @@
     options.preference.other_zone = number;
   } else if (is_number && name == "first_probes") {
     options.first_probes = static_cast<std::size_t>(number);
+  } else if (is_number && name == "cold_overshoot") {
+    options.cold.overshoot = number;
+  } else if (is_number && name == "cold_slack") {
+    options.cold.slack = number;
   } else if (is_number && name == "fresh_ms") {
     options.fresh = ms;
   } else if (is_number && name == "memory_ms") {
@@ -155,7 +165,8 @@
   } else {
     return Fail(ErrorKind::kOutOfRange, "--set", text,
                 "set one of on_time_margin, good_pace, other_zone, "
-                "first_probes, fresh_ms, memory_ms to a number");
+                "first_probes, cold_overshoot, cold_slack, fresh_ms, "
+                "memory_ms to a number");
   }
   return {};
 }
@@ -195,6 +206,8 @@
     Mean regret;
     double probes = 0;
     double crossings = 0;
+    double cold = 0;
+    std::uint64_t worst_cold = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
       const EmulatedFigures figures =
           LoadEmulator(scenario.service, scenario.load, policy.make, seed)
@@ -209,16 +222,21 @@
       probes += static_cast<double>(figures.probes) / calls / seeds;
       crossings +=
           static_cast<double>(figures.other_zone_sends) / calls / seeds;
+      cold += static_cast<double>(figures.cold_sends) / calls / seeds;
+      worst_cold = std::max(worst_cold, figures.worst_cold_second);
       csv << scenario.name << ',' << policy.name << ',' << seed << ','
           << figures.Worth() << ',' << figures.Served() << ',' << figures.calls
           << ',' << figures.on_time << ',' << figures.late << ','
           << figures.refused << ',' << figures.failed << ',' << figures.probes
-          << ',' << figures.other_zone_sends << '\n';
+          << ',' << figures.other_zone_sends << ',' << figures.cold_sends << ','
+          << figures.worst_cold_second << '\n';
     }
-    std::printf("%-15s %-10s %7.4f %6.4f %7.4f %7.4f %6.4f %7.2f %9.2f\n",
-                scenario.name.c_str(), policy.name.c_str(), worth.value(),
-                worth.error(), served.value(), regret.value(), regret.error(),
-                probes, crossings);
+    std::printf(
+        "%-15s %-10s %7.4f %6.4f %7.4f %7.4f %6.4f %7.2f %9.2f %7.3f "
+        "%10llu\n",
+        scenario.name.c_str(), policy.name.c_str(), worth.value(),
+        worth.error(), served.value(), regret.value(), regret.error(), probes,
+        crossings, cold, static_cast<unsigned long long>(worst_cold));
   }
 }
 
@@ -232,9 +250,10 @@
                   ReadScenarios(arguments["scenarios"].as<std::string>()));
   std::ofstream csv(arguments["csv"].as<std::string>());
   csv << "scenario,policy,seed,worth,served,calls,on_time,late,refused,failed,"
-         "probes,other_zone\n";
-  std::printf("%-15s %-10s %7s %6s %7s %7s %6s %7s %9s\n", "scenario", "policy",
-              "worth", "+-", "served", "regret", "+-", "probes", "crossings");
+         "probes,other_zone,cold,worst_cold_second\n";
+  std::printf("%-15s %-10s %7s %6s %7s %7s %6s %7s %9s %7s %10s\n", "scenario",
+              "policy", "worth", "+-", "served", "regret", "+-", "probes",
+              "crossings", "cold", "worst cold");
   for (const Scenario& it : scenarios) {
     PlayScenario(it, options, arguments["seeds"].as<std::uint64_t>(), csv);
   }
--- a/contract/protocol_names.h
+++ b/contract/protocol_names.h
@@ -45,6 +45,8 @@
   std::string expected_endpoint;
   // The id of the endpoint that answers a probe; empty where none is told.
   std::string answering_endpoint;
+  // How many milliseconds the endpoint that answers a probe stays cold.
+  std::string cold_for;
   // Requests' headers that begin so are damasktack's own and not passed on.
   std::string own_prefix = "Damasktack-";
 
--- a/contract/route.h
+++ b/contract/route.h
@@ -53,6 +53,10 @@
   std::string health_path = "/health";
   // Connections that each endpoint accepts from the whole fleet.
   std::int64_t connections = 250;
+  // How long an endpoint is cold after its start, and the calls a second that
+  // it tolerates from the whole fleet meanwhile; 0 where there is no bound.
+  Duration cold_time{};
+  double cold_rate = 0;
 
   bool operator==(const ServiceTraits&) const = default;
 };
--- a/contract/service.h
+++ b/contract/service.h
@@ -34,6 +34,8 @@
   EndpointStart started_at{};
   // The operator has drained its zone.
   bool zone_drained = false;
+  // Until when it is said to be cold, by this host's clock.
+  TimePoint cold_until{};
 
   // Whether new calls may go there by what is published.
   bool MayTakeCalls() const {
@@ -60,6 +62,9 @@
   bool echoes_call = false;
   // What a probe asks for.
   std::string health_path = "/load";
+  // As ServiceTraits has them.
+  Duration cold_time{};
+  double cold_rate = 0;
   std::vector<EndpointSpec> endpoints;
 
   bool operator==(const ServiceSpec&) const = default;
--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -387,7 +387,7 @@
   FeedUpdate update;
   update.after = after;
   update.whole = !view_.KnowsRemovalsAfter(after);
-  update.changes = view_.ChangesAfter(after);
+  update.changes = view_.ChangesAfter(after, now);
   if (update.whole) {
     update.present = view_.UnchangedSince(after);
     view_.drained_zones().AddInForceUpTo(after, update.changes);
--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -20,13 +20,23 @@
 constexpr std::size_t kMostRefused = 4096;
 constexpr std::size_t kLargestStepPart = 4;
 
+// An endpoint that is said to stay cold for so much longer than was believed
+// has become cold again; heartbeats and their ways differ by less.
+constexpr Duration kColdAgain = std::chrono::milliseconds(1000);
+
 // Whether a host would go by both in the same way. How much longer an endpoint
-// stays slow runs down by itself.
+// stays cold runs down by itself.
 bool IsAlike(PublishedEndpoint a, const PublishedEndpoint& b) {
   a.cold_for = b.cold_for;
+  a.spec.cold_until = b.spec.cold_until;
   return a == b;
 }
 
+TimePoint ColdUntil(const PublishedEndpoint& endpoint, TimePoint now) {
+  return endpoint.cold_for > Duration::zero() ? now + endpoint.cold_for
+                                              : TimePoint();
+}
+
 }  // namespace
 
 void PublishedView::TakeAll(const PublishedItems& all,
@@ -262,11 +272,12 @@
     SetAsideEarlierStart(entry, endpoint, now);
     return;
   }
-  PutInForce(entry, endpoint);
+  PutInForce(entry, endpoint, now);
 }
 
 void PublishedView::PutInForce(Entry& entry,
-                               const PublishedEndpoint& endpoint) {
+                               const PublishedEndpoint& endpoint,
+                               TimePoint now) {
   entry.earlier_start.reset();
   // A process that leaves never comes back: a newer entry that says so is a
   // late write. Another process under its id may serve.
@@ -276,7 +287,11 @@
       known.started_at == taken.spec.started_at) {
     taken.spec.state = ListedState::kLeaving;
   }
-  if (!entry.missing_since && IsAlike(entry.endpoint, taken)) {
+  taken.spec.cold_until = ColdUntil(taken, now);
+  const bool is_cold_again =
+      taken.spec.cold_until - known.cold_until >= kColdAgain;
+  if (!entry.missing_since && !is_cold_again &&
+      IsAlike(entry.endpoint, taken)) {
     return;
   }
   entry.missing_since.reset();
@@ -328,7 +343,7 @@
     const bool stays = entry.earlier_start &&
                        now - entry.earlier_start_since >= kEarlierStartGrace;
     if (stays) {
-      PutInForce(entry, PublishedEndpoint(*entry.earlier_start));
+      PutInForce(entry, PublishedEndpoint(*entry.earlier_start), now);
     }
   }
 }
@@ -368,7 +383,8 @@
   return ids;
 }
 
-PublishedItems PublishedView::ChangesAfter(Revision after) const {
+PublishedItems PublishedView::ChangesAfter(Revision after,
+                                           TimePoint now) const {
   PublishedItems changes;
   changes.current = revision_;
   AddRoutesAfter(after, changes);
@@ -377,7 +393,10 @@
     if (entry.told_revision <= after || entry.missing_since) {
       continue;
     }
-    changes.items.push_back({entry.told_revision, entry.endpoint});
+    PublishedEndpoint told = entry.endpoint;
+    told.cold_for =
+        std::max<Duration>(told.spec.cold_until - now, Duration::zero());
+    changes.items.push_back({entry.told_revision, std::move(told)});
     // Each host waits by itself whether it stays.
     if (entry.earlier_start) {
       changes.items.push_back({entry.told_revision, *entry.earlier_start});
--- a/fleet/published_view.h
+++ b/fleet/published_view.h
@@ -61,7 +61,7 @@
   std::vector<EndpointId> UnchangedSince(Revision revision) const;
   Revision revision() const { return revision_; }
   // What has changed after a revision; all of it after 0.
-  PublishedItems ChangesAfter(Revision after) const;
+  PublishedItems ChangesAfter(Revision after, TimePoint now) const;
   // Whether these changes name every removal. A view that began later does not
   // know what was removed before.
   bool KnowsRemovalsAfter(Revision after) const {
@@ -82,7 +82,7 @@
     // host goes by.
     Revision revision = 0;
     // Of the newest write that peers have to hear of. An endpoint that started
-    // counts down with each heartbeat for how long it stays slow; sent on, that
+    // counts down with each heartbeat for how long it stays cold; sent on, that
     // alone had each host hear of it twice more, and join its list anew.
     Revision told_revision = 0;
     std::optional<TimePoint> missing_since;
@@ -112,7 +112,9 @@
                     Revision revision,
                     TimePoint now);
   void TakeUnusable(const UnusableEndpoint& unusable, Revision revision);
-  void PutInForce(Entry& entry, const PublishedEndpoint& endpoint);
+  void PutInForce(Entry& entry,
+                  const PublishedEndpoint& endpoint,
+                  TimePoint now);
   void SetAsideEarlierStart(Entry& entry,
                             const PublishedEndpoint& endpoint,
                             TimePoint now);
--- a/fleet/route_messages.cc
+++ b/fleet/route_messages.cc
@@ -84,7 +84,9 @@
 Json ToJson(const ServiceTraits& service) {
   return Json{{"id", service.id.text()},
               {"health_path", service.health_path},
-              {"connections", service.connections}};
+              {"connections", service.connections},
+              {"cold_us", ToMicroseconds(service.cold_time)},
+              {"cold_rate", service.cold_rate}};
 }
 
 leaf::result<ServiceTraits> ParseTraits(const Json& json,
@@ -95,6 +97,9 @@
   reader.Read("id", id);
   reader.Read("health_path", service.health_path);
   reader.Read("connections", service.connections, 1, kMostCount);
+  ReadTime(reader, "cold_us", service.cold_time);
+  reader.ReadOptional("cold_rate", service.cold_rate, 0,
+                      static_cast<double>(kMostCount));
   BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
   service.id = ServiceId(id);
   return service;
--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -56,6 +56,12 @@
                  "probes a second",
                  "probes of one endpoint by all hosts together; with "
                  "measures_before_sending");
+  visitor.Number("cold_overshoot", options.measured.cold.overshoot, 1, 100,
+                 "times the rate",
+                 "calls that all hosts together may send to a cold endpoint "
+                 "within a second, by the rate that its service publishes");
+  visitor.Number("cold_slack", options.measured.cold.slack, 0, 10'000, "calls",
+                 "what they may send beyond that");
   visitor.Time("tick", options.tick, milliseconds(1), seconds(1),
                "how often deadlines of waiting calls are looked at");
 }
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -110,6 +110,8 @@
     service.id = it.id;
     service.health_path = it.health_path;
     service.echoes_call = true;
+    service.cold_time = it.cold_time;
+    service.cold_rate = it.cold_rate;
   }
   std::map<ServiceId, std::int64_t> connections;
   for (const ServiceTraits& it : state.routes->services) {
--- /dev/null
+++ b/policy/cold_endpoints.cc
@@ -0,0 +1,91 @@
+#include "policy/cold_endpoints.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string>
+
+namespace damasktack {
+
+namespace {
+
+// In which a host that starts learns how many hosts there are. After a loss of
+// power that all of them had, each counts the few that are back before it, and
+// would take itself for a large part of the fleet.
+constexpr Duration kUntilCounted = std::chrono::seconds(5);
+// The part of the rate that hosts share out. Where all of them begin to have
+// calls at one moment, those of the windows that have begun and of the next ones
+// come within a second.
+constexpr double kSharedOut = 0.5;
+// Fewer calls than this are none; estimates that fade are no whole numbers.
+constexpr double kIdleCalls = 0.5;
+
+}  // namespace
+
+void ColdEndpoints::SetService(const ServiceSpec& service,
+                               std::int64_t hosts,
+                               TimePoint now) {
+  cold_time_ = service.cold_time;
+  rate_ = service.cold_rate;
+  hosts_ = static_cast<double>(std::max<std::int64_t>(hosts, 1));
+  endpoints_ = static_cast<double>(service.endpoints.size());
+  if (!first_list_at_ && !service.endpoints.empty()) {
+    first_list_at_ = now;
+  }
+}
+
+// What the endpoints of a zone had in their caches is gone when the zone is
+// given back, and the list says so a heartbeat later only.
+void ColdEndpoints::OnListed(EndpointIndex index,
+                             const EndpointSpec* before,
+                             const EndpointSpec& spec,
+                             TimePoint now) {
+  allowances_.resize(std::max<std::size_t>(allowances_.size(), index + 1));
+  ColdAllowance& allowance = allowances_[index];
+  if (before == nullptr) {
+    const std::string names = host_.text() + spec.id.text();
+    allowance = ColdAllowance(XXH3_64bits(names.data(), names.size()));
+  }
+  TimePoint until = std::max(allowance.cold_until(), spec.cold_until);
+  if (before != nullptr && before->zone_drained && !spec.zone_drained) {
+    until = std::max<TimePoint>(until, now + cold_time_);
+  }
+  allowance.OnCold(until);
+}
+
+bool ColdEndpoints::IsBoundBySlots(double slots, Duration usual_time) const {
+  const double most = slots / std::chrono::duration<double>(usual_time).count();
+  return most <= rate_ * options_.overshoot + options_.slack;
+}
+
+// While nobody has counted the hosts, there are taken to be as many as the
+// service has endpoints.
+double ColdEndpoints::Share(TimePoint now) const {
+  const bool is_counted =
+      first_list_at_ && now - *first_list_at_ >= kUntilCounted;
+  const double hosts = is_counted ? hosts_ : std::max(hosts_, endpoints_);
+  return rate_ * kSharedOut / hosts;
+}
+
+bool ColdEndpoints::MayTakeOne(const ColdLook& look,
+                               Duration usual_time,
+                               TimePoint now) const {
+  if (!IsCold(look.index, now)) {
+    return true;
+  }
+  if (IsBoundBySlots(look.slots, usual_time)) {
+    return look.is_known && look.calls + 1 <= look.slots;
+  }
+  return look.is_known && look.calls < kIdleCalls &&
+         allowances_[look.index].Allows(Share(now), now);
+}
+
+bool ColdEndpoints::IsWorthALook(EndpointIndex index,
+                                 double slots,
+                                 Duration usual_time,
+                                 TimePoint now) const {
+  return !IsCold(index, now) || IsBoundBySlots(slots, usual_time) ||
+         allowances_[index].Allows(Share(now), now);
+}
+
+}  // namespace damasktack
--- a/policy/endpoint_report.h
+++ b/policy/endpoint_report.h
@@ -2,6 +2,7 @@
 #define POLICY_ENDPOINT_REPORT_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "core/time.h"
 
@@ -22,6 +23,8 @@
   EndpointMode mode = EndpointMode::kServing;
   // How long work takes there at the moment, by the usual time.
   double pace = 1;
+  // How much longer it stays cold; null where it does not say.
+  std::optional<Duration> cold_for;
 };
 
 }  // namespace damasktack
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -31,7 +31,7 @@
                                   std::int64_t hosts,
                                   TimePoint now) {
   probes_.Share(service.endpoints.size(), hosts, now);
-  endpoints_.SetService(service, now);
+  endpoints_.SetService(service, hosts, now);
 }
 
 std::optional<MeasuredCandidate> MeasuredBalancer::SettleFor(
@@ -64,10 +64,12 @@
                                                     TimePoint now) {
   const std::optional<MeasuredCandidate> best =
       endpoints_.Best(call, MeasuredEndpoints::Among::kAll, now, random_);
+  NotePlace(best.has_value(), now);
   if (!best) {
-    const bool given_up = unusable_since_ && now - *unusable_since_ >=
-                                                 options_.no_endpoint_patience;
-    return {given_up ? Step::kRefuse : Step::kWait, best};
+    const bool looks = probes_.AwaitsReports(now) || probes_.Look(now, random_);
+    const bool is_given_up =
+        !looks && now - *no_place_since_ >= options_.no_endpoint_patience;
+    return {is_given_up ? Step::kRefuse : Step::kWait, best};
   }
   if (best->is_good) {
     return {Step::kSend, best};
@@ -105,7 +107,6 @@
   if (queue_.empty()) {
     return;
   }
-  WatchUsable(now);
   queue_.Expire(now, ServiceTimes{}, out.rejections);
   while (PumpOne(now, out)) {
   }
@@ -156,7 +157,7 @@
                             TimePoint now,
                             Decisions& out) {
   out.dispatches.push_back({call.offer.token, best.index, BasisOf(best, now)});
-  endpoints_.OnSend(call.offer.token, best);
+  endpoints_.OnSend(call.offer.token, best, now);
   if (!call.avoid) {
     retries_.OnFirstSend(call.offer.customer, call.offer.retry_percent, now);
   }
@@ -240,12 +241,11 @@
   return probes_.Next();
 }
 
-void MeasuredBalancer::WatchUsable(TimePoint now) {
-  endpoints_.Advance(now);
-  if (!endpoints_.usable().empty()) {
-    unusable_since_.reset();
-  } else if (!unusable_since_) {
-    unusable_since_ = now;
+void MeasuredBalancer::NotePlace(bool is_there, TimePoint now) {
+  if (is_there) {
+    no_place_since_.reset();
+  } else if (!no_place_since_) {
+    no_place_since_ = now;
   }
 }
 
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -97,7 +97,7 @@
                       const std::optional<MeasuredCandidate>& best,
                       TimePoint now);
   bool MayRetry(const CallOffer& offer, const SendEnd& end, TimePoint now);
-  void WatchUsable(TimePoint now);
+  void NotePlace(bool is_there, TimePoint now);
 
   const MeasuredBalancerOptions options_;
   Random random_;
@@ -105,7 +105,8 @@
   ProbePlanner probes_;
   AdmissionQueue queue_;
   RetryBudget retries_;
-  std::optional<TimePoint> unusable_since_;
+  // Since when no endpoint has been one that may take a call.
+  std::optional<TimePoint> no_place_since_;
   std::uint64_t retries_granted_ = 0;
   std::uint64_t retries_withheld_ = 0;
 };
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -43,9 +43,14 @@
 }  // namespace
 
 MeasuredEndpoints::MeasuredEndpoints(const MeasuredBalancerOptions& options)
-    : options_(options), preference_(options.preference) {}
+    : options_(options),
+      cold_(options.host, options.cold),
+      preference_(options.preference) {}
 
-void MeasuredEndpoints::SetService(const ServiceSpec& service, TimePoint now) {
+void MeasuredEndpoints::SetService(const ServiceSpec& service,
+                                   std::int64_t hosts,
+                                   TimePoint now) {
+  cold_.SetService(service, hosts, now);
   const bool has_left = Unlist(service, now);
   if (!first_list_at_ && !service.endpoints.empty()) {
     first_list_at_ = now;
@@ -97,6 +102,7 @@
     measures_[known->second] = EndpointMeasure();
   }
   const EndpointIndex index = known->second;
+  cold_.OnListed(index, is_new ? nullptr : &specs_[index], spec, now);
   specs_[index] = spec;
   EndpointRecord& record = roster_.record(index);
   record.slots = static_cast<double>(std::max<std::int64_t>(spec.slots, 1));
@@ -104,6 +110,13 @@
   roster_.OnListed(index, spec, now);
 }
 
+bool MeasuredEndpoints::MayTakeOne(const MeasuredCandidate& candidate,
+                                   TimePoint now) const {
+  const ColdLook look{candidate.index, candidate.is_fresh, candidate.calls,
+                      candidate.slots};
+  return cold_.MayTakeOne(look, usual_time(), now);
+}
+
 void MeasuredEndpoints::DrawPreference() {
   std::vector<EndpointPreference::Choice> choices;
   for (EndpointIndex n = 0; n < specs_.size(); ++n) {
@@ -192,7 +205,7 @@
       continue;
     }
     const MeasuredCandidate it = Weigh(index, now);
-    if (among == Among::kFresh && !it.is_fresh) {
+    if ((among == Among::kFresh && !it.is_fresh) || !MayTakeOne(it, now)) {
       continue;
     }
     const bool is_better =
@@ -217,8 +230,11 @@
   return it;
 }
 
-void MeasuredEndpoints::OnSend(CallToken token, const MeasuredCandidate& to) {
+void MeasuredEndpoints::OnSend(CallToken token,
+                               const MeasuredCandidate& to,
+                               TimePoint now) {
   sent_[token] = {to.FillWithOne(), to.pace, to.is_fresh};
+  cold_.OnSend(to.index, now);
   roster_.record(to.index).estimate.OnSend();
   measures_[to.index].OnSend();
 }
@@ -251,6 +267,9 @@
                                  TimePoint now) {
   ++reports_;
   measures_[endpoint].OnReport(report, now);
+  if (report.cold_for) {
+    cold_.OnColdTime(endpoint, *report.cold_for, now);
+  }
   EndpointRecord& record = roster_.record(endpoint);
   const double load = (report.in_flight + report.queued) / record.slots;
   prior_.pace += (report.pace - prior_.pace) * kSampleWeight;
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -8,6 +8,7 @@
 
 #include "core/random.h"
 #include "policy/balancer.h"
+#include "policy/cold_endpoints.h"
 #include "policy/endpoint_measure.h"
 #include "policy/endpoint_preference.h"
 #include "policy/endpoint_roster.h"
@@ -44,11 +45,14 @@
 
   explicit MeasuredEndpoints(const MeasuredBalancerOptions& options);
 
-  void SetService(const ServiceSpec& service, TimePoint now);
+  // `hosts` is the number of entry hosts that share the endpoints.
+  void SetService(const ServiceSpec& service,
+                  std::int64_t hosts,
+                  TimePoint now);
 
   // What is usual is guessed from the first call's objective.
   void Expect(const CallOffer& offer);
-  void OnSend(CallToken token, const MeasuredCandidate& to);
+  void OnSend(CallToken token, const MeasuredCandidate& to, TimePoint now);
   void OnSendEnd(const SendEnd& end, TimePoint now);
   void OnReport(EndpointIndex endpoint,
                 const EndpointReport& report,
@@ -61,11 +65,16 @@
   std::vector<EndpointChange> TakeChanges();
 
   MeasuredCandidate Weigh(EndpointIndex index, TimePoint now) const;
-  // The cheapest for the call; null without any.
+  // The cheapest for the call; null without any that may take it.
   std::optional<MeasuredCandidate> Best(const WaitingCall& call,
                                         Among among,
                                         TimePoint now,
                                         Random& random);
+  // Whether a report of the endpoint could bring it a call.
+  bool IsWorthALook(EndpointIndex index, TimePoint now) const {
+    return cold_.IsWorthALook(index, roster_.records()[index].slots,
+                              usual_time(), now);
+  }
   // For a look at an endpoint that is not fresh: its cost, less where it has
   // joined and this host is to turn to it later.
   MeasuredCandidate WeighForLook(EndpointIndex index, TimePoint now) const;
@@ -95,6 +104,7 @@
   // Whether any that was listed is so no more.
   bool Unlist(const ServiceSpec& service, TimePoint now);
   void TakeIn(const EndpointSpec& spec, bool as_warm, TimePoint now);
+  bool MayTakeOne(const MeasuredCandidate& candidate, TimePoint now) const;
   void DrawPreference();
   double PaceOf(EndpointIndex index, TimePoint now) const;
   double CallsAt(EndpointIndex index, TimePoint now) const;
@@ -108,6 +118,7 @@
   // second.
   std::unordered_map<EndpointId, EndpointIndex> listed_;
   std::vector<EndpointMeasure> measures_;
+  ColdEndpoints cold_;
   EndpointPreference preference_;
   EndpointRoster roster_;
   MeasurePrior prior_;
--- a/policy/measured_options.h
+++ b/policy/measured_options.h
@@ -6,6 +6,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "policy/admission_queue.h"
+#include "policy/cold_endpoints.h"
 #include "policy/endpoint_preference.h"
 #include "policy/retry_budget.h"
 
@@ -58,6 +59,7 @@
   // meanwhile.
   double on_time_margin = 1.5;
   EndpointPreferenceOptions preference;
+  ColdBoundOptions cold;
   // Calls wait this long for a usable endpoint before they are refused.
   Duration no_endpoint_patience = std::chrono::milliseconds(150);
 };
--- a/policy/probe_planner.cc
+++ b/policy/probe_planner.cc
@@ -60,7 +60,7 @@
     const EndpointMeasure& measure = endpoints_.measure(it);
     const bool is_known = endpoints_.IsFresh(it, now) || measure.HasProbe() ||
                           measure.FailedSince(now - options_.fresh);
-    if (!is_known) {
+    if (!is_known && endpoints_.IsWorthALook(it, now)) {
       unknown.push_back(endpoints_.WeighForLook(it, now));
     }
   }
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -220,8 +220,14 @@
   if (load.empty()) {
     return std::nullopt;
   }
-  return names_.load_is_list ? ParseEndpointLoadList(load, Clock::now())
-                             : ParseEndpointLoad(load, Clock::now());
+  const TimePoint now = Clock::now();
+  std::optional<EndpointReport> report = names_.load_is_list
+                                             ? ParseEndpointLoadList(load, now)
+                                             : ParseEndpointLoad(load, now);
+  if (report) {
+    report->cold_for = ParseColdTime(FromBeast(answer[names_.cold_for]));
+  }
+  return report;
 }
 
 // An endpoint that refuses what was meant for another also says that it did not
--- a/proxy/endpoint_report_codec.cc
+++ b/proxy/endpoint_report_codec.cc
@@ -97,6 +97,14 @@
   return report;
 }
 
+std::optional<Duration> ParseColdTime(std::string_view text) {
+  std::int32_t ms = 0;
+  if (!ParseCount(Trim(text), ms)) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(ms);
+}
+
 std::optional<EndpointReport> ParseEndpointLoad(std::string_view text,
                                                 TimePoint now) {
   EndpointReport report;
--- a/proxy/endpoint_report_codec.h
+++ b/proxy/endpoint_report_codec.h
@@ -24,6 +24,10 @@
 std::optional<EndpointReport> ParseEndpointLoadList(std::string_view text,
                                                     TimePoint now);
 
+// How much longer an endpoint stays cold, in whole milliseconds. Null where the
+// text is empty or says no plausible time.
+std::optional<Duration> ParseColdTime(std::string_view text);
+
 }  // namespace damasktack
 
 #endif  // PROXY_ENDPOINT_REPORT_CODEC_H_
--- a/standin/load_emulator.cc
+++ b/standin/load_emulator.cc
@@ -14,6 +14,7 @@
 constexpr TimePoint kStart{std::chrono::hours(1)};
 constexpr Duration kTick = std::chrono::milliseconds(2);
 constexpr double kLateWorth = 0.1;
+constexpr Duration kGiveBackSpread = std::chrono::milliseconds(300);
 // Callers keep to a wait that is told them up to this part of their time.
 constexpr int kPartForRetryAfter = 3;
 
@@ -46,6 +47,8 @@
     : service_(service),
       load_(load),
       seed_(seed),
+      believed_hosts_(load.believed_hosts > 0 ? load.believed_hosts
+                                              : load.hosts),
       random_(seed),
       hosts_(static_cast<std::size_t>(load.hosts)),
       servers_(static_cast<std::size_t>(service.endpoints)),
@@ -57,20 +60,28 @@
     hosts_[n].zone = static_cast<int>(n) % service_.zones;
     hosts_[n].balancer = factory(static_cast<int>(n), seed * 1000 + n);
     if (hosts_[n].balancer) {
-      hosts_[n].balancer->SetService(MakeSpec(), load_.hosts, now_);
+      hosts_[n].balancer->SetService(
+          MakeSpec(service_.cold_from > Duration::zero()), believed_hosts_,
+          now_);
     }
   }
 }
 
-ServiceSpec LoadEmulator::MakeSpec() const {
+ServiceSpec LoadEmulator::MakeSpec(bool is_drained) const {
   ServiceSpec spec;
   spec.id = ServiceId("emulated");
+  spec.cold_time = service_.cold_for;
+  spec.cold_rate = service_.cold_rate;
   for (std::size_t n = 0; n < servers_.size(); ++n) {
     EndpointSpec endpoint;
     endpoint.id = EndpointId(std::to_string(n));
     endpoint.address = {"10.0.0.1", static_cast<std::uint16_t>(n + 1)};
     endpoint.zone = ZoneId(std::to_string(servers_[n].zone));
     endpoint.slots = service_.slots;
+    endpoint.zone_drained = is_drained && IsOfColdPart(n);
+    if (service_.cold_from == Duration::zero() && IsOfColdPart(n)) {
+      endpoint.cold_until = ColdUntil();
+    }
     spec.endpoints.push_back(endpoint);
   }
   return spec;
@@ -103,6 +114,7 @@
 
 EmulatedFigures LoadEmulator::Run() {
   DrawArrivals();
+  GiveBack();
   while (!events_.empty()) {
     const Event event = events_.top();
     events_.pop();
@@ -184,6 +196,7 @@
 void LoadEmulator::Reach(const Send& send) {
   Server& it = servers_[send.server];
   --it.coming;
+  CountCold(send.server);
   const bool is_full = it.running >= service_.slots;
   const bool is_shed =
       (is_full && static_cast<int>(it.waiting.size()) >= service_.queue) ||
@@ -301,7 +314,8 @@
   const std::size_t server = ServerOf(*hosts_[host].balancer, endpoint);
   const Duration way = Way(hosts_[host], servers_[server]);
   At(now_ + way, [this, host, endpoint, server, way] {
-    const EndpointReport report = ReportOf(server);
+    EndpointReport report = ReportOf(server);
+    report.cold_for = IsCold(server) ? ColdUntil() - now_ : Duration::zero();
     At(now_ + way, [this, host, endpoint, report] {
       Decisions decisions;
       hosts_[host].balancer->Report(endpoint, report, now_, decisions);
@@ -332,7 +346,52 @@
   const auto span =
       static_cast<std::uint64_t>((now_ - kStart + shift) / service_.slow_for);
   Random draw(seed_ * 7919 + server * 104729 + span * 1299709);
-  return Uniform(draw) < service_.slow_part ? service_.slow_factor : 1;
+  const double slow =
+      Uniform(draw) < service_.slow_part ? service_.slow_factor : 1;
+  return IsCold(server) ? slow * service_.cold_factor : slow;
+}
+
+TimePoint LoadEmulator::ColdFrom() const {
+  return kStart + service_.cold_from;
+}
+
+bool LoadEmulator::IsOfColdPart(std::size_t server) const {
+  return static_cast<double>(server) <
+         service_.cold_part * static_cast<double>(servers_.size());
+}
+
+bool LoadEmulator::IsCold(std::size_t server) const {
+  return IsOfColdPart(server) && now_ >= ColdFrom() && now_ < ColdUntil();
+}
+
+// Hosts hear of it one after the other.
+void LoadEmulator::GiveBack() {
+  if (service_.cold_from == Duration::zero()) {
+    return;
+  }
+  for (std::size_t n = 0; n < hosts_.size(); ++n) {
+    if (!hosts_[n].balancer) {
+      continue;
+    }
+    const Duration after = kGiveBackSpread * static_cast<int>(n) / load_.hosts;
+    At(ColdFrom() + after, [this, n] {
+      hosts_[n].balancer->SetService(MakeSpec(false), believed_hosts_, now_);
+    });
+  }
+}
+
+void LoadEmulator::CountCold(std::size_t server) {
+  if (!IsCold(server)) {
+    return;
+  }
+  std::deque<TimePoint>& arrivals = servers_[server].arrivals;
+  arrivals.push_back(now_);
+  while (now_ - arrivals.front() >= std::chrono::seconds(1)) {
+    arrivals.pop_front();
+  }
+  ++figures_.cold_sends;
+  figures_.worst_cold_second =
+      std::max<std::uint64_t>(figures_.worst_cold_second, arrivals.size());
 }
 
 EndpointReport LoadEmulator::ReportOf(std::size_t server) const {
--- a/standin/load_emulator.h
+++ b/standin/load_emulator.h
@@ -35,6 +35,15 @@
   Duration slow_for = std::chrono::milliseconds(300);
   // The part of the calls that every server sheds, however free it is.
   double shed_part = 0;
+  // The part of the servers that is cold for `cold_for`, either from the start
+  // of the play on, or from when it is given back after a drain; how much
+  // longer work takes there, and the calls a second that one is said to
+  // tolerate; 0 where nothing is said.
+  double cold_part = 0;
+  Duration cold_from{};
+  Duration cold_for = std::chrono::seconds(3);
+  double cold_factor = 2;
+  double cold_rate = 0;
   // One way within a zone and between two.
   Duration near_way = std::chrono::microseconds(200);
   Duration far_way = std::chrono::microseconds(1400);
@@ -43,6 +52,8 @@
 // Calls that arrive at random, at one rate, and in the middle third at another.
 struct EmulatedLoad {
   int hosts = 18;
+  // How many of them each host believes that there are; 0 where it knows.
+  int believed_hosts = 0;
   double calls_per_second = 180;
   double middle_factor = 1;
   Duration objective = std::chrono::milliseconds(200);
@@ -63,6 +74,9 @@
   std::uint64_t sheds = 0;
   std::uint64_t probes = 0;
   std::uint64_t other_zone_sends = 0;
+  // Calls that reached cold servers, and the most at one within a second.
+  std::uint64_t cold_sends = 0;
+  std::uint64_t worst_cold_second = 0;
 
   // A late answer is worth a tenth of one that is on time.
   double Worth() const;
@@ -123,6 +137,8 @@
     // On the way here; only the oracle knows.
     int coming = 0;
     std::deque<Send> waiting;
+    // While it is cold; those of the last second.
+    std::deque<TimePoint> arrivals;
   };
   struct Host {
     int zone = 0;
@@ -150,13 +166,20 @@
   void KeepTicking(std::size_t host);
 
   double SlowFactor(std::size_t server) const;
+  TimePoint ColdFrom() const;
+  TimePoint ColdUntil() const { return ColdFrom() + service_.cold_for; }
+  bool IsCold(std::size_t server) const;
+  void CountCold(std::size_t server);
   EndpointReport ReportOf(std::size_t server) const;
   Duration Way(const Host& host, const Server& server) const;
-  ServiceSpec MakeSpec() const;
+  ServiceSpec MakeSpec(bool is_drained) const;
+  bool IsOfColdPart(std::size_t server) const;
+  void GiveBack();
 
   const EmulatedService service_;
   const EmulatedLoad load_;
   const std::uint64_t seed_;
+  const int believed_hosts_;
   Random random_;
   std::vector<Host> hosts_;
   std::vector<Server> servers_;
--- a/tests/fleet/feed_world.h
+++ b/tests/fleet/feed_world.h
@@ -21,6 +21,8 @@
 class FeedWorld {
  public:
   static constexpr Duration kStep = std::chrono::milliseconds(10);
+  // For which an endpoint is cold once it is published.
+  static constexpr Duration kColdTime = std::chrono::seconds(3);
 
   struct Host {
     std::unique_ptr<PublishedFeed> feed;
@@ -71,7 +73,7 @@
     }
     PublishedEndpoint endpoint;
     endpoint.spec.id = EndpointId(id);
-    endpoint.cold_for = std::chrono::seconds(3);
+    endpoint.cold_for = kColdTime;
     endpoints_[id] = {++revision_, endpoint};
     added_at_[id] = now_;
     removed_.erase(id);
@@ -80,7 +82,8 @@
   void WarmEndpoint(const std::string& id) {
     const auto it = endpoints_.find(id);
     if (it != endpoints_.end()) {
-      it->second.second.cold_for /= 2;
+      it->second.second.cold_for = std::max<Duration>(
+          added_at_.at(id) + kColdTime - now_, Duration::zero());
       it->second.first = ++revision_;
     }
   }
--- a/tests/fleet/test_drained_zones.cc
+++ b/tests/fleet/test_drained_zones.cc
@@ -50,7 +50,7 @@
 TEST_CASE("an update of a feeder that began later names all drains") {
   PublishedView feeder;
   feeder.TakeAll(Drain(5, true), false, kStart);
-  PublishedItems update = feeder.ChangesAfter(6);
+  PublishedItems update = feeder.ChangesAfter(6, kStart);
   CHECK(update.items.empty());
   feeder.drained_zones().AddInForceUpTo(6, update);
   update.current = 8;
--- a/tests/fleet/test_published_view.cc
+++ b/tests/fleet/test_published_view.cc
@@ -86,12 +86,35 @@
   CHECK(InForce(view) == MakeEndpoint(100).spec);
 }
 
+// Endpoints go cold without a new start, and hosts that are fed go on as if
+// they were warm. A heartbeat counts the time down, which is no news; one that
+// says more than before is, and a host that hears of it later hears what is
+// left.
+TEST_CASE(
+    "an endpoint that has become cold again is news, a countdown is not") {
+  PublishedView view;
+  PublishedEndpoint endpoint = MakeEndpoint(100);
+  view.TakeChanges(Single(1, endpoint), false, kStart);
+  endpoint.cold_for = seconds(3);
+  view.TakeChanges(Single(2, endpoint), false, kStart + seconds(10));
+  CHECK(InForce(view)->cold_until == kStart + seconds(13));
+  CHECK(view.TakeChanged());
+  endpoint.cold_for = milliseconds(1600);
+  view.TakeChanges(Single(3, endpoint), false, kStart + milliseconds(11500));
+  CHECK(!view.TakeChanged());
+  CHECK(view.ChangesAfter(2, kStart).items.empty());
+  const PublishedItems told = view.ChangesAfter(1, kStart + seconds(12));
+  REQUIRE(told.items.size() == 1);
+  CHECK(std::get<PublishedEndpoint>(told.items[0].value).cold_for ==
+        seconds(1));
+}
+
 TEST_CASE("a host that is fed waits by itself for an older start") {
   PublishedView feeder;
   feeder.TakeChanges(Single(1, MakeEndpoint(900)), false, kStart);
   feeder.TakeChanges(Single(2, MakeEndpoint(100)), false, kStart);
   PublishedView follower;
-  follower.TakeChanges(feeder.ChangesAfter(0), false, kStart);
+  follower.TakeChanges(feeder.ChangesAfter(0, kStart), false, kStart);
   CHECK(InForce(follower) == MakeEndpoint(900).spec);
   follower.Advance(kStart + PublishedView::kEarlierStartGrace);
   CHECK(InForce(follower) == MakeEndpoint(100).spec);
@@ -132,11 +155,11 @@
   PublishedView feeder;
   feeder.TakeAll(Single(1, MakeEndpoint(100)), false, kStart);
   PublishedView follower;
-  follower.TakeAll(feeder.ChangesAfter(0), false, kStart);
+  follower.TakeAll(feeder.ChangesAfter(0, kStart), false, kStart);
   REQUIRE(InForce(follower));
   feeder.TakeChanges(Single(2, UnusableEndpoint{EndpointId("e1"), {}}), false,
                      kStart);
-  follower.TakeChanges(feeder.ChangesAfter(1), false, kStart);
+  follower.TakeChanges(feeder.ChangesAfter(1, kStart), false, kStart);
   CHECK(!InForce(follower));
 }
 
--- a/tests/fleet/test_route_messages.cc
+++ b/tests/fleet/test_route_messages.cc
@@ -65,7 +65,7 @@
     RouteBook book;
     book.version = *rc::gen::inRange<std::uint64_t>(1, 1000);
     book.routes = AnyRoutes();
-    book.services = {{ServiceId("s"), "/h", 7}};
+    book.services = {{ServiceId("s"), "/h", 7, milliseconds(1500), 2.5}};
     book.limits.idle_timeout = milliseconds(*rc::gen::inRange(1, 1000));
     const PeerMessage whole = UpdateWith(book);
     RC_ASSERT(Passed(whole) == whole);
--- a/tests/platform/test_kv_client.cc
+++ b/tests/platform/test_kv_client.cc
@@ -22,8 +22,10 @@
   ["r-1","a.example","/x/","safe",1200,400,2,3,
    [{"service":"s","weight":90},{"service":"t","weight":10}],null,1],
   ["r-2","b.example","/","unsafe",1500,null,1,null,null,"s",null]]},
-"services":{"columns":["name","health_path","max_conns","protocol","tls"],
- "rows":[["s","/health",260,"h1",false],["t",null,null,null,null]]},
+"services":{"columns":["name","health_path","max_conns","protocol","tls",
+  "cold_s","cold_per_s"],
+ "rows":[["s","/health",260,"h1",false,1.5,2],
+  ["t",null,null,null,null,null,null]]},
 "limits":{"max_header_bytes":16384,
  "max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "of-a-later-version":{"columns":[],"rows":[]}})";
@@ -78,6 +80,9 @@
   CHECK(!book.routes[1].idempotent);
   CHECK(book.routes[1].latency_objective == milliseconds(1500));
   CHECK(book.services[0].connections == 260);
+  CHECK(book.services[0].cold_time == milliseconds(1500));
+  CHECK(book.services[0].cold_rate == 2);
+  CHECK(book.services[1].cold_rate == 0);
   CHECK(book.limits.body_bytes == 1000);
   CHECK(book.limits.idle_timeout == seconds(15));
   CHECK(!Fault([&] { return CheckRouteBook(book); }));
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -157,6 +157,66 @@
   CHECK(back.dispatches[0].endpoint % 2 == 0);
 }
 
+// The endpoints of a zone that was given back crash at once, and with them the
+// calls that they had. The word that they are cold comes with the list, with
+// their answers to probes or, before either, from the end of the drain; until
+// they are warm, calls go to the others, and the first word that they are warm
+// ends it.
+TEST_CASE("a cold endpoint gets few calls, from whatever its state is known") {
+  enum class Source : std::uint8_t { kList, kProbe, kDrain };
+  for (const Source source : {Source::kList, Source::kProbe, Source::kDrain}) {
+    Harness harness(2);
+    ServiceSpec service = MakeService(2);
+    service.cold_time = std::chrono::seconds(3);
+    service.cold_rate = 2;
+    service.endpoints[0].zone_drained = source == Source::kDrain;
+    harness.balancer.SetService(service, 4, harness.now);
+    service.endpoints[0].zone_drained = false;
+    if (source == Source::kList) {
+      service.endpoints[0].cold_until = harness.now + std::chrono::seconds(3);
+    } else if (source == Source::kProbe) {
+      harness.reports[0].cold_for = std::chrono::seconds(3);
+    }
+    harness.balancer.SetService(service, 4, harness.now);
+    int to_cold = 0;
+    for (CallToken token = 1; token <= 100; ++token) {
+      harness.now += milliseconds(20);
+      const CallOffer call = MakeCall(token, harness.now);
+      Decisions out = harness.Offer(call);
+      REQUIRE(out.dispatches.size() == 1);
+      to_cold += out.dispatches[0].endpoint == 0 ? 1 : 0;
+      harness.End(call, out.dispatches[0].endpoint, SendResult::kAnswered, out);
+    }
+    CHECK(to_cold <= 3);
+    harness.reports[0].cold_for = Duration::zero();
+    harness.now += std::chrono::seconds(3);
+    const Decisions out = harness.Offer(MakeCall(101, harness.now));
+    REQUIRE(out.dispatches.size() == 1);
+    CHECK(out.dispatches[0].endpoint == 0);
+  }
+}
+
+// All endpoints of a service are cold and each has had what it tolerates from
+// this host. Calls wait without an end for a place that will not come in their
+// time; they are refused instead, and the first place that there is serves.
+TEST_CASE("calls are refused where all endpoints are cold and spent") {
+  Harness harness(1);
+  ServiceSpec service = MakeService(1);
+  service.cold_rate = 1;
+  service.endpoints[0].cold_until = harness.now + std::chrono::seconds(3);
+  harness.balancer.SetService(service, 1, harness.now);
+  CallOffer call = MakeCall(1, harness.now);
+  Decisions out = harness.Offer(call);
+  REQUIRE(out.dispatches.size() == 1);
+  harness.End(call, 0, SendResult::kAnswered, out);
+  harness.Offer(MakeCall(2, harness.now));
+  const Decisions refused = harness.Tick(milliseconds(200));
+  REQUIRE(refused.rejections.size() == 1);
+  CHECK(harness.Offer(MakeCall(3, harness.now)).rejections.size() == 1);
+  harness.now += milliseconds(900);
+  CHECK(harness.Offer(MakeCall(4, harness.now)).dispatches.size() == 1);
+}
+
 // A dock command is refused although most endpoints are free. One of them is
 // gone, the address is another's, and the list says so seconds later: no call
 // tries it again before that, and none after a look at it.
--- a/tests/standin/test_load_emulator.cc
+++ b/tests/standin/test_load_emulator.cc
@@ -100,5 +100,85 @@
   CHECK(figures.Worth() > 0.98);
 }
 
+// What a cold server is said to tolerate, and the bound for any second.
+constexpr double kColdRate = 2;
+constexpr ColdBoundOptions kColdBound = {1.5, 8};
+constexpr std::uint64_t kMostInASecond = 11;
+
+std::uint64_t WorstColdSecond(const EmulatedService& service,
+                              const EmulatedLoad& load) {
+  const BalancerFactory factory = [&](int host, std::uint64_t seed) {
+    MeasuredBalancerOptions options;
+    options.host = HostId("h" + std::to_string(host));
+    options.zone = ZoneId(std::to_string(host % service.zones));
+    options.cold = kColdBound;
+    return std::make_unique<MeasuredBalancer>(options, seed);
+  };
+  std::uint64_t worst = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    worst = std::max(
+        worst,
+        LoadEmulator(service, load, factory, seed).Run().worst_cold_second);
+  }
+  return worst;
+}
+
+// Endpoints that were given back crash anew. They are cold, with short work on
+// six slots: to every host they look free, and all hosts together send them
+// several times what they tolerate. Also where hosts take the fleet for half as
+// large as it is.
+TEST_CASE("cold servers get no more than they tolerate from all hosts") {
+  EmulatedService service;
+  service.endpoints = 15;
+  service.slots = 6;
+  service.zones = 3;
+  service.work = std::chrono::milliseconds(20);
+  service.cold_part = 0.4;
+  service.cold_from = std::chrono::seconds(3);
+  EmulatedLoad load;
+  load.calls_per_second = 1000;
+  load.length = std::chrono::seconds(9);
+  for (const int hosts : {30, 111, 300}) {
+    CAPTURE(hosts);
+    load.hosts = hosts;
+    load.believed_hosts = hosts / 2;
+    service.cold_rate = 0;
+    CHECK(WorstColdSecond(service, load) > kMostInASecond);
+    service.cold_rate = kColdRate;
+    CHECK(WorstColdSecond(service, load) <= kMostInASecond);
+  }
+}
+
+// A whole service came back cold and most of its callers are refused, though
+// its two slots an endpoint, at work of 220 ms, could not take more than they
+// tolerate if they were all in use.
+TEST_CASE("cold servers whose slots bound their calls serve") {
+  EmulatedService service;
+  service.endpoints = 102;
+  service.slots = 2;
+  service.queue = 8;
+  service.zones = 3;
+  service.work = std::chrono::milliseconds(220);
+  service.cold_part = 1;
+  service.cold_rate = kColdRate;
+  EmulatedLoad load;
+  load.hosts = 111;
+  load.calls_per_second = 169;
+  load.objective = std::chrono::milliseconds(600);
+  load.deadline = std::chrono::milliseconds(1200);
+  load.length = std::chrono::seconds(9);
+  CHECK(WorstColdSecond(service, load) <= kMostInASecond);
+  const BalancerFactory held = [&](int host, std::uint64_t seed) {
+    MeasuredBalancerOptions options;
+    options.host = HostId("h" + std::to_string(host));
+    options.zone = ZoneId(std::to_string(host % service.zones));
+    options.cold = kColdBound;
+    return std::make_unique<MeasuredBalancer>(options, seed);
+  };
+  // All but two in a hundred of what the oracle serves.
+  CHECK(Play(service, load, held).Served() >
+        Play(service, load, Oracle).Served() - 0.02);
+}
+
 }  // namespace
 }  // namespace damasktack
