Repeats are saved up by the fleet's slack and kept for callers that come back

Load: every endpoint of a service refuses half of what it gets, and repeats are bounded for the whole fleet. Callers have one more try of their own.

CallerTimes tells who has come back by the time that is left; while more than a quarter of the recent sends are refused, repeats are theirs.

--- a/bench/load_experiment_bench.cc
+++ b/bench/load_experiment_bench.cc
@@ -154,6 +154,16 @@
     options.preference.other_zone = number;
   } else if (is_number && name == "first_probes") {
     options.first_probes = static_cast<std::size_t>(number);
+  } else if (is_number && name == "retry_percent") {
+    options.retries.service_percent = static_cast<std::int64_t>(number);
+  } else if (is_number && name == "retry_burst") {
+    options.retries.service_cap = number;
+  } else if (is_number && name == "retry_slack") {
+    options.retries.fleet_slack = number;
+  } else if (is_number && name == "most_refused") {
+    options.retries.most_refused = number;
+  } else if (is_number && name == "group") {
+    options.preference.group = static_cast<std::size_t>(number);
   } else if (is_number && name == "cold_overshoot") {
     options.cold.overshoot = number;
   } else if (is_number && name == "cold_slack") {
@@ -163,10 +173,12 @@
   } else if (is_number && name == "memory_ms") {
     options.memory = ms;
   } else {
-    return Fail(ErrorKind::kOutOfRange, "--set", text,
-                "set one of on_time_margin, good_pace, other_zone, "
-                "first_probes, cold_overshoot, cold_slack, fresh_ms, "
-                "memory_ms to a number");
+    return Fail(
+        ErrorKind::kOutOfRange, "--set", text,
+        "set one of on_time_margin, good_pace, other_zone, "
+        "first_probes, retry_percent, retry_burst, retry_slack, most_refused, "
+        "group, cold_overshoot, cold_slack, fresh_ms, memory_ms to a "
+        "number");
   }
   return {};
 }
--- a/misc/scripts/make_days.py
+++ b/misc/scripts/make_days.py
@@ -66,7 +66,7 @@
     "retry_abuse": ["share = 0.4, x = 4.0, for_s = 6.0"],
     "give_up": ["share = 0.4, for_s = 6.0"],
 }
-PLANNED = {"release", "scale_in", "scale_out", "roll_term", "config_change", "config_storm", "hup", "add_nodes"}
+PLANNED = {"evacuate", "big_config", "release", "scale_in", "scale_out", "roll_term", "config_change", "config_storm", "hup", "add_nodes"}
 PAIRS = 40
 # Endpoints that start again under their id, while the fleet or the store is in
 # trouble too.
@@ -90,6 +90,28 @@
     ("core_cut", 'count = 2, for_s = 6.0, how = "leader race"'),
     ("platform_lost", 'x = 0.5, for_s = 8.0, how = "late"'),
 ]
+# A zone is emptied, comes back cold or loses power, while something else goes
+# on; what is planned twice overlaps.
+ZONES = [
+    ("evacuate", 'for_s = 7.0, zone = "@z0"'),
+    ("cold_return", 'for_s = 2.5, zone = "@z0"'),
+    ("zone_loss", 'for_s = 4.0, zone = "@z0"'),
+]
+WITH_ZONES = [
+    ("herd_kill", 'share = 0.8, how = "power", for_s = 2.0'),
+    ("core_cut", 'count = 2, for_s = 6.0, how = "leader race"'),
+    ("platform_down", 'for_s = 6.0, how = "silent"'),
+    ("platform_down", 'share = 0.4, for_s = 9.0, how = "nodes many revoke meet"'),
+    ("platform_compact", 'x = 5.0, for_s = 10.0, how = "drain"'),
+    ("platform_lost", 'x = 0.5, for_s = 8.0, how = "late"'),
+    ("config_storm", "for_s = 6.0, gap_s = 0.2"),
+    ("roll_term", 'share = 1.0, gap_s = 0.8, how = "busy"'),
+    ("node_cut", 'share = 0.35, for_s = 8.0, how = "meet"'),
+    ("big_config", "count = 1400"),
+    ("release", "share = 0.8, x = 4.0, gap_s = 0.7"),
+    ("retry_abuse", "share = 0.4, x = 4.0, for_s = 8.0"),
+    ("evacuate", 'for_s = 4.0, how = "warm"'),
+]
 # Aimed at the first of a site.
 AIMED = [
     ("burst", 'x = 2.0, for_s = 6.0, class = "@c0"'),
@@ -123,6 +145,11 @@
             days.append((f"{first[0]}+{second[0]}", [(*first, 3.0), (*second, 4.5), (*first, 17.0), (*second, 18.5)]))
     for kind, members in AIMED:
         days.append((f"aimed-{kind}", [(kind, members, 4.0), (kind, members, 18.0)]))
+    for zone in ZONES:
+        for n, second in enumerate(WITH_ZONES):
+            is_again = second[0] in [it[0] for it in WITH_ZONES[:n]]
+            days.append((f"{zone[0]}+{second[0]}{'-2' if is_again else ''}",
+                         [(*zone, 3.0), (*second, 4.0), (*zone, 16.0), (*second, 14.5)]))
     for n, (name, rows) in enumerate(days):
         entries = [(kind, entry(kind, members, at)) for kind, members, at in rows]
         (folder / f"{name}.toml").write_text(day(name, 7000 + n, entries, CLOSINGS[n % 2] if n % 3 == 0 else None))
--- a/policy/call_offer.h
+++ b/policy/call_offer.h
@@ -29,6 +29,8 @@
   std::int64_t retry_percent = 10;
   // Sends of this call at most; 0 where the service's own bound holds alone.
   int most_sends = 0;
+  // How long the caller allowed the call to take when it arrived here.
+  Duration asked{};
   // An answer later than this is worth little to the caller.
   TimePoint on_time_until;
   TimePoint arrival;
--- a/policy/cold_endpoints.cc
+++ b/policy/cold_endpoints.cc
@@ -14,8 +14,8 @@
 // would take itself for a large part of the fleet.
 constexpr Duration kUntilCounted = std::chrono::seconds(5);
 // The part of the rate that hosts share out. Where all of them begin to have
-// calls at one moment, those of the windows that have begun and of the next ones
-// come within a second.
+// calls at one moment, those of the windows that have begun and of the next
+// ones come within a second.
 constexpr double kSharedOut = 0.5;
 // Fewer calls than this are none; estimates that fade are no whole numbers.
 constexpr double kIdleCalls = 0.5;
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -30,6 +30,7 @@
 void MeasuredBalancer::SetService(const ServiceSpec& service,
                                   std::int64_t hosts,
                                   TimePoint now) {
+  retries_.SetHosts(hosts);
   probes_.Share(service.endpoints.size(), hosts, now);
   endpoints_.SetService(service, hosts, now);
 }
@@ -90,6 +91,7 @@
 void MeasuredBalancer::Offer(const CallOffer& offer,
                              TimePoint now,
                              Decisions& out) {
+  callers_.Note(offer.customer, offer.asked, now);
   Admit(WaitingCall{offer, std::nullopt}, now, out);
 }
 
@@ -190,6 +192,15 @@
       endpoints_.Best(call, MeasuredEndpoints::Among::kAll, now, random_), now);
 }
 
+// A caller that comes for the first time has another try of its own, which
+// costs no repeat; one that has come back is lost when it is refused. Where
+// endpoints refuse half of what they get, repeats for everybody were spent on
+// those that would have come back.
+bool MeasuredBalancer::IsLeftToCaller(const CallOffer& offer) const {
+  return retries_.AreScarce() &&
+         !callers_.HasComeBack(offer.customer, offer.asked);
+}
+
 bool MeasuredBalancer::MayRetry(const CallOffer& offer,
                                 const SendEnd& end,
                                 TimePoint now) {
@@ -204,7 +215,7 @@
       now + endpoints_.usual_time() >= offer.deadline) {
     return false;
   }
-  if (retries_.IsFutile(end.result) ||
+  if (retries_.IsFutile(end.result) || IsLeftToCaller(offer) ||
       !retries_.TrySpend(offer.customer, offer.retry_percent, now)) {
     ++retries_withheld_;
     return false;
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -7,6 +7,7 @@
 #include "core/random.h"
 #include "policy/admission_queue.h"
 #include "policy/balancer.h"
+#include "policy/caller_times.h"
 #include "policy/measured_endpoints.h"
 #include "policy/measured_options.h"
 #include "policy/probe_planner.h"
@@ -96,6 +97,7 @@
   Duration RetryAfter(const CallOffer& offer,
                       const std::optional<MeasuredCandidate>& best,
                       TimePoint now);
+  bool IsLeftToCaller(const CallOffer& offer) const;
   bool MayRetry(const CallOffer& offer, const SendEnd& end, TimePoint now);
   void NotePlace(bool is_there, TimePoint now);
 
@@ -105,6 +107,7 @@
   ProbePlanner probes_;
   AdmissionQueue queue_;
   RetryBudget retries_;
+  CallerTimes callers_;
   // Since when no endpoint has been one that may take a call.
   std::optional<TimePoint> no_place_since_;
   std::uint64_t retries_granted_ = 0;
--- a/policy/retry_budget.cc
+++ b/policy/retry_budget.cc
@@ -7,8 +7,14 @@
 namespace {
 
 constexpr double kPercent = 0.01;
+// The rest is for hosts that start, each with a repeat of its own, and for
+// wrong beliefs of how many hosts there are.
+constexpr double kSlackUsed = 0.75;
 // Weight of one more send in the part that failed.
 constexpr double kSampleWeight = 1.0 / 64;
+// The same for the part that was refused: a host may have a few sends a second,
+// and half of them refused has to show within seconds.
+constexpr double kRefusalWeight = 1.0 / 8;
 
 void Earn(double& repeats, std::int64_t percent, double cap) {
   repeats = std::min(cap, repeats + static_cast<double>(percent) * kPercent);
@@ -16,7 +22,18 @@
 
 }  // namespace
 
-RetryBudget::RetryBudget(RetryBudgetOptions options) : options_(options) {}
+RetryBudget::RetryBudget(RetryBudgetOptions options)
+    : options_(options), service_cap_(options.service_cap) {}
+
+void RetryBudget::SetHosts(std::int64_t hosts) {
+  if (options_.fleet_slack <= 0) {
+    return;
+  }
+  const double part = options_.fleet_slack * kSlackUsed /
+                      static_cast<double>(std::max<std::int64_t>(hosts, 1));
+  service_cap_ = std::max(part, 1.0);
+  service_.repeats = std::min(service_.repeats, service_cap_);
+}
 
 void RetryBudget::Refill(Account& account, TimePoint now) const {
   const double earned =
@@ -59,7 +76,7 @@
                               std::int64_t percent,
                               TimePoint now) {
   Earn(AccountOf(customer, now).repeats, percent, options_.customer_cap);
-  Earn(service_.repeats, options_.service_percent, options_.service_cap);
+  Earn(service_.repeats, options_.service_percent, service_cap_);
 }
 
 bool RetryBudget::TrySpend(const CustomerId& customer,
@@ -79,7 +96,12 @@
 }
 
 void RetryBudget::OnSendEnd(SendResult result) {
-  if (SurelyNotRun(result) || result == SendResult::kCancelled) {
+  if (result == SendResult::kCancelled) {
+    return;
+  }
+  const double refused = result == SendResult::kShed ? 1 : 0;
+  refused_ += (refused - refused_) * kRefusalWeight;
+  if (SurelyNotRun(result)) {
     return;
   }
   const double failed = result == SendResult::kAnswered ? 0 : 1;
--- a/policy/retry_budget.h
+++ b/policy/retry_budget.h
@@ -17,12 +17,19 @@
   // Unspent repeats a customer, or the service, may keep.
   double customer_cap = 10;
   double service_cap = 50;
+  // Repeats beyond the percentage that all hosts together may send of one
+  // service within a moment. Above 0 each host may keep its part of them, in
+  // place of `service_cap`.
+  double fleet_slack = 0;
   // Time in which a customer that sends almost nothing earns one repeat.
   Duration idle_refill = std::chrono::seconds(10);
   std::size_t most_customers = 4096;
   // With a larger part of the recent sends failing, a repeat of a call that
   // failed while it ran is of no use.
   double most_failing = 0.25;
+  // With a larger part of the recent sends refused unrun, repeats are scarce:
+  // the budget is not enough for all of them.
+  double most_refused = 0.25;
 };
 
 // Repeated sends that one host allows for one service: a part of the first
@@ -32,6 +39,8 @@
  public:
   explicit RetryBudget(RetryBudgetOptions options);
 
+  // How many hosts share the service's slack.
+  void SetHosts(std::int64_t hosts);
   // A first send earns `percent` hundredths of a repeat.
   void OnFirstSend(const CustomerId& customer,
                    std::int64_t percent,
@@ -48,6 +57,9 @@
   // failure, and another endpoint may be well.
   bool IsFutile(SendResult result) const;
 
+  // Whether so many sends are refused that whom a repeat is for matters.
+  bool AreScarce() const { return refused_ > options_.most_refused; }
+
   std::size_t customers() const { return customers_.size(); }
 
  private:
@@ -61,10 +73,12 @@
   void ForgetIdle(TimePoint now);
 
   RetryBudgetOptions options_;
+  double service_cap_;
   std::unordered_map<CustomerId, Account> customers_;
   Account service_;
-  // Part of the recent sends that failed.
+  // Part of the recent sends that failed, and that were refused unrun.
   double failing_ = 0;
+  double refused_ = 0;
 };
 
 }  // namespace damasktack
--- a/proxy/call_terms.cc
+++ b/proxy/call_terms.cc
@@ -60,6 +60,7 @@
   offer.idempotent = route.idempotent;
   offer.most_sends = route.most_sends;
   const Duration asked = AskedTime(request, names);
+  offer.asked = asked;
   offer.deadline = offer.arrival + std::min(route.timeout, asked - kWayBack);
   offer.on_time_until =
       std::min(offer.deadline, offer.arrival + route.latency_objective);
--- a/standin/load_emulator.cc
+++ b/standin/load_emulator.cc
@@ -133,6 +133,7 @@
   offer.idempotent = true;
   offer.retry_percent = 100;
   offer.arrival = now_;
+  offer.asked = call->last_deadline - now_;
   offer.deadline = call->last_deadline;
   offer.on_time_until = std::min(now_ + load_.objective, offer.deadline);
   call->sends = 0;
--- a/tests/policy/test_retry_budget.cc
+++ b/tests/policy/test_retry_budget.cc
@@ -91,6 +91,45 @@
   CHECK_FALSE(budget.IsFutile(SendResult::kFailed));
 }
 
+// A service refuses calls for seconds, and all hosts repeat at once what they
+// have saved up: together that stays within the fleet's slack, however many
+// they are and whatever they saved before they knew.
+TEST_CASE("what hosts save up together stays within the fleet's slack") {
+  for (const std::int64_t hosts : {13, 17, 60}) {
+    RetryBudgetOptions options;
+    options.fleet_slack = 62;
+    RetryBudget budget(options);
+    for (int n = 0; n < 1000; ++n) {
+      budget.OnFirstSend(CustomerId("c" + std::to_string(n % 100)), 20, kStart);
+    }
+    budget.SetHosts(hosts);
+    double repeats = 0;
+    for (int n = 0; n < 100; ++n) {
+      const CustomerId customer("c" + std::to_string(n));
+      repeats += budget.TrySpend(customer, 20, kStart) ? 1 : 0;
+    }
+    CAPTURE(hosts);
+    CHECK(repeats >= 1);
+    CHECK(repeats * static_cast<double>(hosts) <= options.fleet_slack);
+  }
+}
+
+TEST_CASE("repeats are scarce while many sends are refused unrun") {
+  RetryBudget budget(RetryBudgetOptions{});
+  for (int n = 0; n < 30; ++n) {
+    budget.OnSendEnd(SendResult::kFailed);
+  }
+  CHECK_FALSE(budget.AreScarce());
+  for (int n = 0; n < 4; ++n) {
+    budget.OnSendEnd(SendResult::kShed);
+  }
+  CHECK(budget.AreScarce());
+  for (int n = 0; n < 10; ++n) {
+    budget.OnSendEnd(SendResult::kAnswered);
+  }
+  CHECK_FALSE(budget.AreScarce());
+}
+
 TEST_CASE("memory is bounded whatever customers come") {
   RetryBudgetOptions options;
   options.most_customers = 10;
--- a/tests/standin/test_load_emulator.cc
+++ b/tests/standin/test_load_emulator.cc
@@ -100,6 +100,41 @@
   CHECK(figures.Worth() > 0.98);
 }
 
+double ServedWhileRefusing(const EmulatedService& service,
+                           const EmulatedLoad& load,
+                           const RetryBudgetOptions& retries) {
+  return Play(service, load,
+              [&](int host, std::uint64_t seed) {
+                MeasuredBalancerOptions options;
+                options.host = HostId("h" + std::to_string(host));
+                options.zone = ZoneId(std::to_string(host % service.zones));
+                options.retries = retries;
+                return std::make_unique<MeasuredBalancer>(options, seed);
+              })
+      .Served();
+}
+
+// Every server refuses half of its calls at once, and one repeat in five sends
+// is all that there may be. Callers come back once; repeats that are spent on
+// those who would have come back are missing for those who did.
+TEST_CASE("repeats go to callers that have come back") {
+  EmulatedService service;
+  service.shed_part = 0.55;
+  EmulatedLoad load;
+  RetryBudgetOptions retries;
+  retries.service_percent = 18;
+  retries.fleet_slack = 62;
+  RetryBudgetOptions anybody = retries;
+  anybody.most_refused = 1;
+  CHECK(ServedWhileRefusing(service, load, retries) >
+        ServedWhileRefusing(service, load, anybody));
+  RetryBudgetOptions single = anybody;
+  single.fleet_slack = 0;
+  single.service_cap = 1;
+  CHECK(ServedWhileRefusing(service, load, anybody) >
+        ServedWhileRefusing(service, load, single));
+}
+
 // What a cold server is said to tolerate, and the bound for any second.
 constexpr double kColdRate = 2;
 constexpr ColdBoundOptions kColdBound = {1.5, 8};
