--- a/contract/route.h
+++ b/contract/route.h
@@ -37,6 +37,8 @@
   Duration latency_objective = std::chrono::seconds(1);
   // Endpoints that one request may be sent to, one after the other.
   int most_sends = 2;
+  // Where its requests may be worked on; anywhere if there is none.
+  std::vector<RegionId> allowed_regions;
   // At least one; their weights add up to more than 0.
   std::vector<RouteTarget> targets;
   // Share, urgency and treatment of the route's requests; the customer bears
--- a/contract/service.h
+++ b/contract/service.h
@@ -26,6 +26,8 @@
   EndpointId id;
   SocketAddress address;
   ZoneId zone;
+  // Of its zone; empty where this host's settings do not say.
+  RegionId region;
   // Calls it works on at a time.
   std::int64_t slots = 1;
   // Connections it accepts from the whole fleet.
--- a/core/ids.h
+++ b/core/ids.h
@@ -35,6 +35,7 @@
 using EndpointId = StrongId<struct EndpointTag>;
 using HostId = StrongId<struct HostTag>;
 using ZoneId = StrongId<struct ZoneTag>;
+using RegionId = StrongId<struct RegionTag>;
 using CallId = StrongId<struct CallTag>;
 
 // Tells two processes under the same host id apart. Drawn at random by a
--- a/fleet/route_messages.cc
+++ b/fleet/route_messages.cc
@@ -37,8 +37,9 @@
 // In the order of the values in ToRow.
 const std::vector<std::string>& RouteColumns() {
   static const std::vector<std::string> columns = {
-      "name",         "host",       "prefix",  "idempotent",    "timeout_us",
-      "objective_us", "most_sends", "urgency", "retry_percent", "targets"};
+      "name",          "host",         "prefix",     "idempotent",
+      "timeout_us",    "objective_us", "most_sends", "urgency",
+      "retry_percent", "targets",      "regions"};
   return columns;
 }
 
@@ -47,11 +48,16 @@
   for (const RouteTarget& it : route.targets) {
     targets.push_back(ToPair(it));
   }
+  Json regions;
+  for (const RegionId& it : route.allowed_regions) {
+    regions.push_back(it.text());
+  }
   return Json::array({route.contract.customer.text(), route.host, route.prefix,
                       route.idempotent, ToMicroseconds(route.timeout),
                       ToMicroseconds(route.latency_objective), route.most_sends,
                       static_cast<int>(route.urgency),
-                      route.contract.retry_percent, std::move(targets)});
+                      route.contract.retry_percent, std::move(targets),
+                      std::move(regions)});
 }
 
 leaf::result<Route> ParseRoute(const Json& json, const std::string& path) {
@@ -69,12 +75,17 @@
   reader.Read("most_sends", most_sends, 1, 100);
   reader.Read("urgency", urgency, 0, kUrgencyCount - 1);
   reader.Read("retry_percent", route.contract.retry_percent, 0, 100);
+  std::vector<std::string> regions;
+  reader.ReadOptional("regions", regions);
   const Json* targets = reader.Array("targets");
   BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
   for (const Json& it : *targets) {
     BOOST_LEAF_AUTO(target, ParseTarget(it, path));
     route.targets.push_back(std::move(target));
   }
+  for (std::string& it : regions) {
+    route.allowed_regions.emplace_back(std::move(it));
+  }
   route.contract.customer = CustomerId(name);
   route.most_sends = static_cast<int>(most_sends);
   route.urgency = static_cast<Urgency>(urgency);
--- a/main/settings.h
+++ b/main/settings.h
@@ -1,6 +1,7 @@
 #ifndef MAIN_SETTINGS_H_
 #define MAIN_SETTINGS_H_
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -67,6 +68,8 @@
 struct Settings {
   HostId host;
   ZoneId zone;
+  // The region of each zone.
+  std::map<ZoneId, RegionId> regions;
   ProxyOptions proxy;
   AdminOptions admin;
   PlatformOptions platform;
--- a/main/settings_describer.cc
+++ b/main/settings_describer.cc
@@ -39,6 +39,12 @@
       {PathOf(key), "name", kRequired, "not empty", std::string(meaning)});
 }
 
+void SettingsDescriber::DescribeNames(std::string_view key,
+                                      std::string_view meaning) {
+  descriptions_.push_back({PathOf(key), "object of names", kNone,
+                           "names not empty", std::string(meaning)});
+}
+
 void SettingsDescriber::Text(std::string_view key,
                              const std::string& value,
                              std::string_view meaning) {
--- a/main/settings_describer.h
+++ b/main/settings_describer.h
@@ -2,6 +2,7 @@
 #define MAIN_SETTINGS_DESCRIBER_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -62,6 +63,12 @@
               std::string_view unit,
               std::string_view meaning);
   void Flag(std::string_view key, bool value, std::string_view meaning);
+  template <typename Key, typename Id>
+  void Names(std::string_view key,
+             const std::map<Key, Id>& /*value*/,
+             std::string_view meaning) {
+    DescribeNames(key, meaning);
+  }
   void Addresses(std::string_view key,
                  const std::vector<SocketAddress>& value,
                  std::string_view meaning);
@@ -84,6 +91,7 @@
 
  private:
   void DescribeName(std::string_view key, std::string_view meaning);
+  void DescribeNames(std::string_view key, std::string_view meaning);
   std::string PathOf(std::string_view key) const;
 
   std::string path_;
--- a/main/settings_reader.cc
+++ b/main/settings_reader.cc
@@ -101,6 +101,25 @@
   }
 }
 
+std::map<std::string, std::string> SettingsReader::ReadNames(
+    std::string_view key) {
+  std::map<std::string, std::string> names;
+  const Json* object = reader_.OptionalObject(key);
+  if (object == nullptr) {
+    return names;
+  }
+  for (const auto& [name, value] : object->items()) {
+    if (!value.is_string() || value.get_ref<const std::string&>().empty()) {
+      reader_.Refuse(ErrorKind::kWrongType, key,
+                     "no name under \"" + name + "\"",
+                     "write names in quotes, as in {\"zone\": \"region\"}");
+      return {};
+    }
+    names.emplace(name, value.get<std::string>());
+  }
+  return names;
+}
+
 void SettingsReader::Adopt(SettingsReader& section) {
   Try([&] { return section.reader_.Finish(); },
       [&](const Error& error) { reader_.Adopt(WithoutValue(error)); });
--- a/main/settings_reader.h
+++ b/main/settings_reader.h
@@ -2,6 +2,7 @@
 #define MAIN_SETTINGS_READER_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,6 +52,15 @@
               std::string_view unit,
               std::string_view meaning);
   void Flag(std::string_view key, bool& out, std::string_view meaning);
+  // An object of names by names; optional.
+  template <typename Key, typename Id>
+  void Names(std::string_view key,
+             std::map<Key, Id>& out,
+             std::string_view /*meaning*/) {
+    for (auto& [name, value] : ReadNames(key)) {
+      out.emplace(name, value);
+    }
+  }
   // A list of addresses; optional.
   void Addresses(std::string_view key,
                  std::vector<SocketAddress>& out,
@@ -80,6 +90,7 @@
 
  private:
   void Adopt(SettingsReader& section);
+  std::map<std::string, std::string> ReadNames(std::string_view key);
 
   JsonReader reader_;
 };
--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -211,6 +211,9 @@
   visitor.Name("host", settings.host,
                "this host's id in the platform's list of hosts");
   visitor.Name("zone", settings.zone, "availability zone of this host");
+  visitor.Names("regions", settings.regions,
+                "region of each availability zone; routes that are allowed in "
+                "some regions only have their calls sent there");
   visitor.Section("proxy", settings.proxy, SettingNeed::kRequired,
                   VisitProxy<Visitor>);
   visitor.Section("admin", settings.admin, SettingNeed::kRequired,
--- a/main/settings_snapshot.h
+++ b/main/settings_snapshot.h
@@ -1,6 +1,7 @@
 #ifndef MAIN_SETTINGS_SNAPSHOT_H_
 #define MAIN_SETTINGS_SNAPSHOT_H_
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,6 +65,16 @@
   void Flag(std::string_view key, bool value, std::string_view /*meaning*/) {
     Note(key, value ? "true" : "false");
   }
+  template <typename Key, typename Id>
+  void Names(std::string_view key,
+             const std::map<Key, Id>& value,
+             std::string_view /*meaning*/) {
+    std::string text;
+    for (const auto& [name, id] : value) {
+      text += name.text() + "=" + id.text() + " ";
+    }
+    Note(key, std::move(text));
+  }
   void Addresses(std::string_view key,
                  const std::vector<SocketAddress>& value,
                  std::string_view meaning);
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -103,7 +103,9 @@
 }
 
 // The services of a book with the endpoints published for them.
-std::vector<ServiceSpec> MakeServices(const PublishedState& state) {
+std::vector<ServiceSpec> MakeServices(
+    const PublishedState& state,
+    const std::map<ZoneId, RegionId>& regions) {
   std::map<ServiceId, ServiceSpec> services;
   for (const ServiceTraits& it : state.routes->services) {
     ServiceSpec& service = services[it.id];
@@ -126,6 +128,10 @@
     spec.connections = connections[it.service];
     spec.zone_drained = std::ranges::find(state.drained_zones, spec.zone) !=
                         state.drained_zones.end();
+    const auto region = regions.find(spec.zone);
+    if (region != regions.end()) {
+      spec.region = region->second;
+    }
     service->second.endpoints.push_back(std::move(spec));
   }
   std::vector<ServiceSpec> list;
@@ -183,13 +189,25 @@
   if (!state.routes) {
     return;
   }
-  state_.SetRouting(
-      std::make_shared<RoutingTable>(state.routes, MakeServices(state)),
-      state.hosts > 0 ? state.hosts : settings_.store.hosts, Clock::now());
+  state_.SetRouting(std::make_shared<RoutingTable>(
+                        state.routes, MakeServices(state, settings_.regions)),
+                    state.hosts > 0 ? state.hosts : settings_.store.hosts,
+                    Clock::now());
   has_routes_ = true;
+  KeepDrainedZones(state);
   LogChange(state);
 }
 
+void StoreDaemon::KeepDrainedZones(const PublishedState& state) {
+  const std::lock_guard lock(drained_zones_mutex_);
+  drained_zones_ = state.drained_zones;
+}
+
+std::vector<ZoneId> StoreDaemon::DrainedZonesInForce() const {
+  const std::lock_guard lock(drained_zones_mutex_);
+  return drained_zones_;
+}
+
 void StoreDaemon::LogChange(const PublishedState& state) const {
   const auto leaving =
       std::ranges::count_if(state.endpoints, [](const PublishedEndpoint& it) {
@@ -268,6 +286,10 @@
     WriteCounter(out, "damasktack_peer_frames_dropped_total",
                  links.frames_dropped);
   }
+  out << "# TYPE damasktack_zone_drained gauge\n";
+  for (const ZoneId& it : DrainedZonesInForce()) {
+    out << "damasktack_zone_drained{zone=\"" << it.text() << "\"} 1\n";
+  }
   out << "# TYPE damasktack_store_reader gauge\n"
       << "damasktack_store_reader " << published_.reads_store() << "\n"
       << "# TYPE damasktack_published_age_seconds gauge\n"
--- a/main/store_daemon.h
+++ b/main/store_daemon.h
@@ -49,6 +49,8 @@
   void OnPublished(const PublishedState& state) override;
   void StopPublished();
   void LogChange(const PublishedState& state) const;
+  void KeepDrainedZones(const PublishedState& state);
+  std::vector<ZoneId> DrainedZonesInForce() const;
 
   // Other threads read what Reload leaves alone.
   Settings settings_;
@@ -64,6 +66,8 @@
   const TimePoint started_at_ = Clock::now();
   // Routes are known, so that an unknown path can be told from an unread one.
   std::atomic<bool> has_routes_ = false;
+  mutable std::mutex drained_zones_mutex_;
+  std::vector<ZoneId> drained_zones_;
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> drained_ = false;
 };
--- a/policy/call_offer.h
+++ b/policy/call_offer.h
@@ -27,6 +27,8 @@
   bool is_repeat = false;
   // Repeated sends allowed to the customer, percent of first sends.
   std::int64_t retry_percent = 10;
+  // Where it may be worked on; anywhere if there is none.
+  std::vector<RegionId> allowed_regions;
   // Sends of this call at most; 0 where the service's own bound holds alone.
   int most_sends = 0;
   // How long the caller allowed the call to take when it arrived here.
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -65,11 +65,17 @@
                                                     TimePoint now) {
   const std::optional<MeasuredCandidate> best =
       endpoints_.Best(call, MeasuredEndpoints::Among::kAll, now, random_);
-  NotePlace(best.has_value(), now);
+  NotePlace(call, best.has_value(), now);
   if (!best) {
-    const bool looks = probes_.AwaitsReports(now) || probes_.Look(now, random_);
+    if (!endpoints_.ServesRegionsOf(call)) {
+      return {Step::kRefuse, best};
+    }
+    const bool looks =
+        probes_.AwaitsReports(now) || probes_.Look(call, now, random_);
+    const TimePoint since =
+        std::min(no_place_since_.value_or(now), call.offer.arrival);
     const bool is_given_up =
-        !looks && now - *no_place_since_ >= options_.no_endpoint_patience;
+        !looks && now - since >= options_.no_endpoint_patience;
     return {is_given_up ? Step::kRefuse : Step::kWait, best};
   }
   if (best->is_good) {
@@ -78,7 +84,7 @@
   if (const std::optional<MeasuredCandidate> settled = SettleFor(call, now)) {
     return {Step::kSend, settled};
   }
-  if (probes_.AwaitsReports(now) || probes_.Look(now, random_)) {
+  if (probes_.AwaitsReports(now) || probes_.Look(call, now, random_)) {
     return {Step::kWait, best};
   }
   if (IsOnTime(call, *best, now)) {
@@ -252,10 +258,13 @@
   return probes_.Next();
 }
 
-void MeasuredBalancer::NotePlace(bool is_there, TimePoint now) {
+// A call that may go to some regions only says nothing of the others.
+void MeasuredBalancer::NotePlace(const WaitingCall& call,
+                                 bool is_there,
+                                 TimePoint now) {
   if (is_there) {
     no_place_since_.reset();
-  } else if (!no_place_since_) {
+  } else if (!no_place_since_ && call.offer.allowed_regions.empty()) {
     no_place_since_ = now;
   }
 }
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -99,7 +99,7 @@
                       TimePoint now);
   bool IsLeftToCaller(const CallOffer& offer) const;
   bool MayRetry(const CallOffer& offer, const SendEnd& end, TimePoint now);
-  void NotePlace(bool is_there, TimePoint now);
+  void NotePlace(const WaitingCall& call, bool is_there, TimePoint now);
 
   const MeasuredBalancerOptions options_;
   Random random_;
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -110,6 +110,19 @@
   roster_.OnListed(index, spec, now);
 }
 
+bool MeasuredEndpoints::IsAllowed(const WaitingCall& call,
+                                  EndpointIndex index) const {
+  const std::vector<RegionId>& allowed = call.offer.allowed_regions;
+  return allowed.empty() ||
+         std::ranges::find(allowed, specs_[index].region) != allowed.end();
+}
+
+bool MeasuredEndpoints::ServesRegionsOf(const WaitingCall& call) const {
+  return call.offer.allowed_regions.empty() ||
+         std::ranges::any_of(
+             usable(), [&](EndpointIndex it) { return IsAllowed(call, it); });
+}
+
 bool MeasuredEndpoints::MayTakeOne(const MeasuredCandidate& candidate,
                                    TimePoint now) const {
   const ColdLook look{candidate.index, candidate.is_fresh, candidate.calls,
@@ -201,7 +214,8 @@
   for (std::size_t n = 0; n < usable.size(); ++n) {
     const EndpointIndex index = usable[at];
     at = at + 1 == usable.size() ? 0 : at + 1;
-    if (usable.size() > 1 && call.avoid == index) {
+    const bool is_avoided = usable.size() > 1 && call.avoid == index;
+    if (is_avoided || !IsAllowed(call, index)) {
       continue;
     }
     const MeasuredCandidate it = Weigh(index, now);
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -70,9 +70,15 @@
                                         Among among,
                                         TimePoint now,
                                         Random& random);
-  // Whether a report of the endpoint could bring it a call.
-  bool IsWorthALook(EndpointIndex index, TimePoint now) const {
-    return cold_.IsWorthALook(index, roster_.records()[index].slots,
+  // Whether some endpoint that takes calls is in a region of the call's; true
+  // where it may go anywhere.
+  bool ServesRegionsOf(const WaitingCall& call) const;
+  // Whether a report of the endpoint could bring it the call.
+  bool IsWorthALook(const WaitingCall& call,
+                    EndpointIndex index,
+                    TimePoint now) const {
+    return IsAllowed(call, index) &&
+           cold_.IsWorthALook(index, roster_.records()[index].slots,
                               usual_time(), now);
   }
   // For a look at an endpoint that is not fresh: its cost, less where it has
@@ -104,6 +110,8 @@
   // Whether any that was listed is so no more.
   bool Unlist(const ServiceSpec& service, TimePoint now);
   void TakeIn(const EndpointSpec& spec, bool as_warm, TimePoint now);
+  // Whether the call may be worked on in the endpoint's region.
+  bool IsAllowed(const WaitingCall& call, EndpointIndex index) const;
   bool MayTakeOne(const MeasuredCandidate& candidate, TimePoint now) const;
   void DrawPreference();
   double PaceOf(EndpointIndex index, TimePoint now) const;
--- a/policy/probe_planner.cc
+++ b/policy/probe_planner.cc
@@ -54,24 +54,27 @@
                             options_.most_patience);
 }
 
-std::vector<MeasuredCandidate> ProbePlanner::Unknown(TimePoint now) const {
+std::vector<MeasuredCandidate> ProbePlanner::Unknown(const WaitingCall& call,
+                                                     TimePoint now) const {
   std::vector<MeasuredCandidate> unknown;
   for (const EndpointIndex it : endpoints_.usable()) {
     const EndpointMeasure& measure = endpoints_.measure(it);
     const bool is_known = endpoints_.IsFresh(it, now) || measure.HasProbe() ||
                           measure.FailedSince(now - options_.fresh);
-    if (!is_known && endpoints_.IsWorthALook(it, now)) {
+    if (!is_known && endpoints_.IsWorthALook(call, it, now)) {
       unknown.push_back(endpoints_.WeighForLook(it, now));
     }
   }
   return unknown;
 }
 
-bool ProbePlanner::Look(TimePoint now, Random& random) {
+bool ProbePlanner::Look(const WaitingCall& call,
+                        TimePoint now,
+                        Random& random) {
   if (!endpoints_.AreReporting()) {
     return false;
   }
-  std::vector<MeasuredCandidate> unknown = Unknown(now);
+  std::vector<MeasuredCandidate> unknown = Unknown(call, now);
   const bool is_first_look = CountFresh(now) == 0;
   const std::size_t most =
       std::min(unknown.size(),
--- a/policy/probe_planner.h
+++ b/policy/probe_planner.h
@@ -28,9 +28,9 @@
 
   // Whether probes are on their way that a decision should wait for.
   bool AwaitsReports(TimePoint now) const;
-  // Asks for further probes; false where there is nobody left to probe, or no
-  // budget.
-  bool Look(TimePoint now, Random& random);
+  // Asks for further probes that could help the call; false where there is
+  // nobody left to probe, or no budget.
+  bool Look(const WaitingCall& call, TimePoint now, Random& random);
   // How many endpoints are known well enough to place a call.
   std::size_t CountFresh(TimePoint now) const;
 
@@ -43,7 +43,8 @@
 
  private:
   Duration Patience(TimePoint now) const;
-  std::vector<MeasuredCandidate> Unknown(TimePoint now) const;
+  std::vector<MeasuredCandidate> Unknown(const WaitingCall& call,
+                                         TimePoint now) const;
 
   const MeasuredBalancerOptions options_;
   MeasuredEndpoints& endpoints_;
--- a/proxy/call_terms.cc
+++ b/proxy/call_terms.cc
@@ -59,6 +59,7 @@
   offer.urgency = route.urgency;
   offer.idempotent = route.idempotent;
   offer.most_sends = route.most_sends;
+  offer.allowed_regions = route.allowed_regions;
   const Duration asked = AskedTime(request, names);
   offer.asked = asked;
   offer.deadline = offer.arrival + std::min(route.timeout, asked - kWayBack);
--- a/tests/fleet/test_route_messages.cc
+++ b/tests/fleet/test_route_messages.cc
@@ -26,6 +26,10 @@
   route.urgency = static_cast<Urgency>(*rc::gen::inRange(0, 3));
   route.contract.customer = CustomerId(AnyText());
   route.contract.retry_percent = *rc::gen::inRange(0, 100);
+  const int regions = *rc::gen::inRange(0, 3);
+  for (int n = 0; n < regions; ++n) {
+    route.allowed_regions.emplace_back(AnyText());
+  }
   const int targets = *rc::gen::inRange(0, 4);
   for (int n = 0; n < targets; ++n) {
     route.targets.push_back({ServiceId(AnyText()), *rc::gen::inRange(0, 100)});
--- a/tests/main/test_settings.cc
+++ b/tests/main/test_settings.cc
@@ -48,6 +48,18 @@
              });
 }
 
+TEST_CASE("zones have the regions that the settings name") {
+  Json json = SoundWithStore();
+  json["regions"] = Json{{"z1", "north"}, {"z2", "south"}};
+  const Settings settings = Parsed(json);
+  CHECK(settings.regions.at(ZoneId("z2")) == RegionId("south"));
+  CHECK(Parsed(SoundWithStore()).regions.empty());
+  json["regions"]["z1"] = 7;
+  const Error error = ErrorOf(json);
+  CHECK(error.kind == ErrorKind::kWrongType);
+  CHECK(!error.remedy.empty());
+}
+
 // An operator changes a file and has the hosts read it again. The log has to
 // say what is in force now and what is not, and must not show a key.
 TEST_CASE("changed settings are told by whether a running host takes them in") {
--- a/tests/main/test_store_daemon.cc
+++ b/tests/main/test_store_daemon.cc
@@ -130,6 +130,26 @@
   CHECK(Eventually([&] { return Ask(*daemon, "/x/1")->status == 200; }));
 }
 
+// An operator empties a zone for a repair and requests go on reaching it. All
+// endpoints are in that zone: callers hear that their requests were not run,
+// operators see the drain in the metrics, and the zone serves again once the
+// drain is taken back.
+TEST_CASE("a drain of a zone comes into force and ends") {
+  const CallEndpoint endpoint(milliseconds(0));
+  StandinStore store;
+  store.PutJson("op/config", Book(3, "/x/"));
+  store.PutJson("servers/i-1", Endpoint(endpoint.port()));
+  const auto daemon = StartDaemon(store.port());
+  CHECK(Eventually([&] { return Ask(*daemon, "/x/1")->status == 200; }));
+  const std::string gauge = R"(damasktack_zone_drained{zone="z1"} 1)";
+  store.PutJson("op/evacuate/z1", "{}");
+  CHECK(Eventually([&] { return Ask(*daemon, "/x/1")->status == 503; }));
+  CHECK(daemon->Metrics().find(gauge) != std::string::npos);
+  store.Remove("op/evacuate/z1");
+  CHECK(Eventually([&] { return Ask(*daemon, "/x/1")->status == 200; }));
+  CHECK(daemon->Metrics().find(gauge) == std::string::npos);
+}
+
 TEST_CASE("calls are served while the store is away") {
   const CallEndpoint endpoint(milliseconds(0));
   StandinStore store;
--- a/tests/platform/test_kv_client.cc
+++ b/tests/platform/test_kv_client.cc
@@ -17,11 +17,13 @@
 constexpr auto kBook =
     R"({"version":7,
 "routes":{"columns":["name","host","prefix","kind","timeout_ms",
-  "target_latency_ms","priority","max_attempts","split","service","later"],
+  "target_latency_ms","priority","max_attempts","split","service","later",
+  "allowed_regions"],
  "rows":[
   ["r-1","a.example","/x/","safe",1200,400,2,3,
-   [{"service":"s","weight":90},{"service":"t","weight":10}],null,1],
-  ["r-2","b.example","/","unsafe",1500,null,1,null,null,"s",null]]},
+   [{"service":"s","weight":90},{"service":"t","weight":10}],null,1,
+   ["north","south"]],
+  ["r-2","b.example","/","unsafe",1500,null,1,null,null,"s",null,null]]},
 "services":{"columns":["name","health_path","max_conns","protocol","tls",
   "cold_s","cold_per_s"],
  "rows":[["s","/health",260,"h1",false,1.5,2],
@@ -72,6 +74,9 @@
   CHECK(safe.timeout == milliseconds(1200));
   CHECK(safe.latency_objective == milliseconds(400));
   CHECK(safe.most_sends == 3);
+  CHECK(safe.allowed_regions ==
+        std::vector<RegionId>{RegionId("north"), RegionId("south")});
+  CHECK(book.routes[1].allowed_regions.empty());
   CHECK(safe.targets ==
         std::vector<RouteTarget>{{ServiceId("s"), 90}, {ServiceId("t"), 10}});
   // Both routes go to s, and the other one has the higher rank.
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -217,6 +217,35 @@
   CHECK(harness.Offer(MakeCall(4, harness.now)).dispatches.size() == 1);
 }
 
+// A request is worked on in a region that its route does not allow: the other
+// region is near, free or the only one left. Such a call goes to the allowed
+// region however full that is, is told at once that it was not run where that
+// has no endpoint, and does not stop calls that may go anywhere.
+TEST_CASE("calls stay in the regions that their route allows") {
+  Harness harness(8);
+  ServiceSpec service = MakeService(8);
+  for (EndpointSpec& it : service.endpoints) {
+    it.region = RegionId(it.zone.text() == "near" ? "here" : "there");
+  }
+  harness.balancer.SetService(service, 1, harness.now);
+  for (CallToken token = 1; token < 20; ++token) {
+    CallOffer call = MakeCall(token, harness.now);
+    call.allowed_regions = {RegionId("there")};
+    const Decisions out = harness.Offer(call);
+    for (const Dispatch& it : out.dispatches) {
+      CHECK(harness.balancer.endpoint(it.endpoint).region == RegionId("there"));
+    }
+    CHECK(out.dispatches.size() + out.rejections.size() == 1);
+    harness.now += milliseconds(5);
+  }
+  CallOffer nowhere = MakeCall(20, harness.now);
+  nowhere.allowed_regions = {RegionId("elsewhere")};
+  const Decisions refused = harness.Offer(nowhere);
+  REQUIRE(refused.rejections.size() == 1);
+  CHECK(refused.rejections[0].refusal == Refusal::kNoEndpoint);
+  CHECK(harness.Offer(MakeCall(21, harness.now)).dispatches.size() == 1);
+}
+
 // A dock command is refused although most endpoints are free. One of them is
 // gone, the address is another's, and the list says so seconds later: no call
 // tries it again before that, and none after a look at it.
