One maker of emulated hosts in a test; a function that nobody calls goes

The emulator's tests made the same balancer at four places; Measured takes the options now. MeasuredEndpoints::Advance lost its last caller with the patience for cold endpoints.

--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -60,8 +60,6 @@
   void OnProbe(EndpointIndex endpoint, TimePoint now);
   void OnProbeFailed(EndpointIndex endpoint, SendResult result, TimePoint now);
   void HearDrain(const EndpointId& id, TimePoint now);
-  // Makes the changes of state whose time has come.
-  void Advance(TimePoint now) { roster_.Advance(now); }
   std::vector<EndpointChange> TakeChanges();
 
   MeasuredCandidate Weigh(EndpointIndex index, TimePoint now) const;
--- a/tests/standin/test_load_emulator.cc
+++ b/tests/standin/test_load_emulator.cc
@@ -9,12 +9,12 @@
 
 constexpr std::uint64_t kSeeds = 3;
 
-BalancerFactory Measured(int zones) {
-  return [zones](int host, std::uint64_t seed) {
-    MeasuredBalancerOptions options;
-    options.host = HostId("h" + std::to_string(host));
-    options.zone = ZoneId(std::to_string(host % zones));
-    return std::make_unique<MeasuredBalancer>(options, seed);
+BalancerFactory Measured(int zones, MeasuredBalancerOptions options = {}) {
+  return [zones, options](int host, std::uint64_t seed) {
+    MeasuredBalancerOptions own = options;
+    own.host = HostId("h" + std::to_string(host));
+    own.zone = ZoneId(std::to_string(host % zones));
+    return std::make_unique<MeasuredBalancer>(own, seed);
   };
 }
 
@@ -103,15 +103,9 @@
 double ServedWhileRefusing(const EmulatedService& service,
                            const EmulatedLoad& load,
                            const RetryBudgetOptions& retries) {
-  return Play(service, load,
-              [&](int host, std::uint64_t seed) {
-                MeasuredBalancerOptions options;
-                options.host = HostId("h" + std::to_string(host));
-                options.zone = ZoneId(std::to_string(host % service.zones));
-                options.retries = retries;
-                return std::make_unique<MeasuredBalancer>(options, seed);
-              })
-      .Served();
+  MeasuredBalancerOptions options;
+  options.retries = retries;
+  return Play(service, load, Measured(service.zones, options)).Served();
 }
 
 // Every server refuses half of its calls at once, and one repeat in five sends
@@ -142,13 +136,9 @@
 
 std::uint64_t WorstColdSecond(const EmulatedService& service,
                               const EmulatedLoad& load) {
-  const BalancerFactory factory = [&](int host, std::uint64_t seed) {
-    MeasuredBalancerOptions options;
-    options.host = HostId("h" + std::to_string(host));
-    options.zone = ZoneId(std::to_string(host % service.zones));
-    options.cold = kColdBound;
-    return std::make_unique<MeasuredBalancer>(options, seed);
-  };
+  MeasuredBalancerOptions options;
+  options.cold = kColdBound;
+  const BalancerFactory factory = Measured(service.zones, options);
   std::uint64_t worst = 0;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     worst = std::max(
@@ -203,13 +193,9 @@
   load.deadline = std::chrono::milliseconds(1200);
   load.length = std::chrono::seconds(9);
   CHECK(WorstColdSecond(service, load) <= kMostInASecond);
-  const BalancerFactory held = [&](int host, std::uint64_t seed) {
-    MeasuredBalancerOptions options;
-    options.host = HostId("h" + std::to_string(host));
-    options.zone = ZoneId(std::to_string(host % service.zones));
-    options.cold = kColdBound;
-    return std::make_unique<MeasuredBalancer>(options, seed);
-  };
+  MeasuredBalancerOptions options;
+  options.cold = kColdBound;
+  const BalancerFactory held = Measured(service.zones, options);
   // All but two in a hundred of what the oracle serves.
   CHECK(Play(service, load, held).Served() >
         Play(service, load, Oracle).Served() - 0.02);
