--- /dev/null
+++ b/core/request_fingerprint.h
@@ -0,0 +1,32 @@
+#ifndef CORE_REQUEST_FINGERPRINT_H_
+#define CORE_REQUEST_FINGERPRINT_H_
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace damasktack {
+
+// Identifies what a caller asks for: the same for each attempt at any host, and
+// as a rule another one for any other request.
+struct RequestFingerprint {
+  std::uint64_t value = 0;
+
+  auto operator<=>(const RequestFingerprint&) const = default;
+};
+
+// Sixteen hexadecimal digits.
+std::string ToString(RequestFingerprint fingerprint);
+
+}  // namespace damasktack
+
+template <>
+struct std::hash<damasktack::RequestFingerprint> {
+  std::size_t operator()(
+      const damasktack::RequestFingerprint& it) const noexcept {
+    return std::hash<std::uint64_t>()(it.value);
+  }
+};
+
+#endif  // CORE_REQUEST_FINGERPRINT_H_
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -1,7 +1,5 @@
 #include "proxy/call_handler.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -13,6 +11,7 @@
 #include "proxy/call_terms.h"
 #include "proxy/header_rewrite.h"
 #include "proxy/request_check.h"
+#include "proxy/request_digest.h"
 
 namespace damasktack {
 
@@ -39,13 +38,6 @@
   return target.substr(0, target.find('?'));
 }
 
-std::uint64_t DigestOf(const HttpRequest& request) {
-  const std::string text = std::string(request.method_string()) + "\n" +
-                           std::string(request.target()) + "\n" +
-                           request.body();
-  return XXH3_64bits(text.data(), text.size());
-}
-
 // Whether a damasktack nearer to the failure has answered this before.
 bool WentThroughAnotherHop(const ExchangeResult& sent,
                            const ProtocolNames& names) {
@@ -371,6 +363,14 @@
          dispatcher_->Withdraw(offer_.token, now);
 }
 
+// The name of the customer that a route stands for changes with the routes.
+RequestFingerprint CallHandler::Fingerprint(const HttpRequest& request) const {
+  const std::string_view caller = routing_->has_routes()
+                                      ? FromBeast(request[http::field::host])
+                                      : offer_.customer.text();
+  return FingerprintOf(caller, request);
+}
+
 asio::awaitable<ExchangeResult> CallHandler::SendOnce(
     HttpRequest& request,
     const Placement& placement) {
@@ -472,7 +472,9 @@
   }
 }
 
-void CallHandler::Log(const Ending& ending, TimePoint now) {
+void CallHandler::Log(const HttpRequest& request,
+                      const Ending& ending,
+                      TimePoint now) {
   CallRecord record;
   record.call = call_id_;
   record.customer = offer_.customer;
@@ -494,7 +496,10 @@
   record.basis = basis_;
   record.routes_version =
       routing_->has_routes() ? routing_->book()->version : 0;
-  state_.call_log().Write(record, now);
+  if (IsWorthALine(record)) {
+    record.request = Fingerprint(request);
+    state_.call_log().Write(record, now);
+  }
 }
 
 HttpResponse CallHandler::Render(const HttpRequest& request, Ending ending) {
@@ -523,7 +528,7 @@
   Ending ending = co_await Admit(request);
   const TimePoint now = Clock::now();
   const Duration total = now - offer_.arrival;
-  Log(ending, now);
+  Log(request, ending, now);
   state_.metrics().Record({offer_.customer, offer_.urgency},
                           {ending.outcome, total, total - at_endpoints_});
   co_return Render(request, std::move(ending));
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 
+#include "core/request_fingerprint.h"
 #include "proxy/claim_hold.h"
 #include "proxy/failure.h"
 #include "proxy/http_types.h"
@@ -46,8 +47,9 @@
   // again.
   bool GiveBack(const Placement& placement);
   HttpResponse Render(const HttpRequest& request, Ending ending);
+  RequestFingerprint Fingerprint(const HttpRequest& request) const;
   // Leaves a line where the call did not simply succeed.
-  void Log(const Ending& ending, TimePoint now);
+  void Log(const HttpRequest& request, const Ending& ending, TimePoint now);
   const ProtocolNames& names() const { return state_.options().names; }
 
   ProxyState& state_;
--- a/proxy/call_log.cc
+++ b/proxy/call_log.cc
@@ -12,17 +12,14 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+}  // namespace
+
 bool IsWorthALine(const CallRecord& record) {
   return record.outcome != Outcome::kComplete || record.sends != 1 ||
          record.left < Duration::zero();
 }
 
-}  // namespace
-
 void CallLog::Write(const CallRecord& record, TimePoint now) {
-  if (!IsWorthALine(record)) {
-    return;
-  }
   std::uint64_t left_out = 0;
   {
     const std::lock_guard lock(mutex_);
@@ -34,12 +31,13 @@
     left_out = std::exchange(dropped_since_, 0);
   }
   spdlog::info(
-      "event=call-ended call={} customer={} service={} outcome={} status={} "
+      "event=call-ended call={} request={} customer={} service={} outcome={} "
+      "status={} "
       "failure={} endpoint={} sends={} total_ms={} at_endpoints_ms={} "
       "left_ms={} expected_ms={} report_age_ms={} version={} left_out={}",
-      record.call.text(), record.customer.text(), record.service.text(),
-      ToString(record.outcome), record.status, record.failure,
-      record.endpoint.text(), record.sends, ToMs(record.total),
+      record.call.text(), ToString(record.request), record.customer.text(),
+      record.service.text(), ToString(record.outcome), record.status,
+      record.failure, record.endpoint.text(), record.sends, ToMs(record.total),
       ToMs(record.at_endpoints), ToMs(record.left), ToMs(record.basis.expected),
       ToMs(record.basis.report_age), record.routes_version, left_out);
 }
--- a/proxy/call_log.h
+++ b/proxy/call_log.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "core/ids.h"
+#include "core/request_fingerprint.h"
 #include "core/time.h"
 #include "core/token_bucket.h"
 #include "policy/call.h"
@@ -16,6 +17,8 @@
 // How one call ended, with what decided it.
 struct CallRecord {
   CallId call;
+  // The same for each attempt of the caller.
+  RequestFingerprint request;
   CustomerId customer;
   ServiceId service;
   Outcome outcome = Outcome::kNotRun;
@@ -37,10 +40,14 @@
   std::uint64_t routes_version = 0;
 };
 
-// Writes a line for each call that did not simply succeed: refused, failed,
-// sent more than once, or late. Bounded whatever happens, since a burst of
-// failures comes when there is least time for logging; what was left out is
-// counted, and the next line says so. Safe to use from several threads.
+// Whether the call did not simply succeed: refused, failed, sent more than
+// once, or late.
+bool IsWorthALine(const CallRecord& record);
+
+// Writes lines of calls that did not simply succeed. Bounded whatever happens,
+// since a burst of failures comes when there is least time for logging; what
+// was left out is counted, and the next line says so. Safe to use from several
+// threads.
 class CallLog {
  public:
   // Lines a second, and how many at once. A line costs about 10 us, so that
