--- a/misc/scripts/run_tests.py
+++ b/misc/scripts/run_tests.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Runs ctest and passes over the tests listed in KNOWN-RED.txt, which it prints.
 
-A line of KNOWN-RED.txt is "TEST PROGRAM/TEST CASE | cause | issue"; three at most.
+A line of KNOWN-RED.txt is "TEST PROGRAM/TEST CASE | command and seed | what was seen
+| issue"; three at most.
 The named test cases are left out of their program's run and said so.
 """
 
