Requests that crash endpoints are quarantined by all hosts

What callers saw: a request that crashes each endpoint that runs it came again and again; up to 59 of 109 calls a second of the same service were refused and others broke with the endpoints they were at. Cause: missing memory of a request's effect. Hosts judge endpoints and budgets by service, never by request: each attempt ended two endpoints, at whichever host it came to. Change: a host whose call broke checks whether the endpoint has ended; what ended under which request is told to the peers (seeds first, all hosts from the second crash on; one hop where all are linked). A suspect is sent once a call; three crashes quarantine it everywhere: refused at once, not-run, with Retry-After, and tried again by one call after 60 s, then ever more rarely. Why it holds: evidence is the end of an endpoint, not a broken connection; an answer clears a request, and crashes that a worse request explains do not count, so bystanders are spared; memory, checks and messages are bounded. Ruled out: no repeats after a broken call (takes the second chance from every bystander), counting by host (needs three crashes each), broken connections as evidence (endpoints that are full reset them), the store's list (seconds late).

--- a/fleet/fleet_core.cc
+++ b/fleet/fleet_core.cc
@@ -9,13 +9,18 @@
 
 static_assert(FleetModule<DocumentStore>);
 static_assert(FleetModule<DrainSightings>);
+static_assert(FleetModule<CrashExchange>);
 
 FleetCore::FleetCore(FleetCoreOptions options,
                      DocumentStore::Check check,
                      std::uint64_t random_seed)
     : options_(std::move(options)),
       membership_(options_.membership),
-      documents_(options_.documents, std::move(check), random_seed) {}
+      documents_(options_.documents, std::move(check), random_seed) {
+  if (options_.gates.quarantine != nullptr) {
+    crashes_.emplace(*options_.gates.quarantine);
+  }
+}
 
 void FleetCore::LinkUp(const HostId& host,
                        Incarnation incarnation,
--- a/fleet/fleet_core.h
+++ b/fleet/fleet_core.h
@@ -2,9 +2,11 @@
 #define FLEET_FLEET_CORE_H_
 
 #include <array>
+#include <optional>
 #include <string_view>
 #include <vector>
 
+#include "fleet/crash_exchange.h"
 #include "fleet/document_store.h"
 #include "fleet/drain_sightings.h"
 #include "fleet/fleet_claim_gate.h"
@@ -17,6 +19,7 @@
 struct FleetGates {
   FleetLimitGate* limits = nullptr;
   FleetClaimGate* claims = nullptr;
+  RequestQuarantine* quarantine = nullptr;
 };
 
 struct FleetCoreOptions {
@@ -101,6 +104,9 @@
     if (options_.gates.claims != nullptr) {
       body(*options_.gates.claims);
     }
+    if (crashes_) {
+      body(*crashes_);
+    }
   }
 
   void BeginCheck(TimePoint now);
@@ -114,6 +120,8 @@
   Membership membership_;
   DocumentStore documents_;
   DrainSightings drains_;
+  // Null without a quarantine.
+  std::optional<CrashExchange> crashes_;
   Outbox out_;
   FleetCounters counters_;
 
--- a/fleet/peer_message.h
+++ b/fleet/peer_message.h
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "fleet/claim_messages.h"
+#include "fleet/crash_messages.h"
 #include "fleet/document_messages.h"
 #include "fleet/drain_messages.h"
 #include "fleet/limit_messages.h"
@@ -37,7 +38,8 @@
                                  ClaimSettled,
                                  FeedHello,
                                  FeedUpdate,
-                                 FeedOutage>;
+                                 FeedOutage,
+                                 CrashReport>;
 
 }  // namespace damasktack
 
--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -46,13 +46,24 @@
   Stop();
 }
 
+void PublishedLoop::ShareCrashes(RequestQuarantine& quarantine) {
+  quarantine_ = &quarantine;
+  crashes_.emplace(quarantine);
+}
+
 void PublishedLoop::Start(PeerTransport* transport) {
   transport_ = transport;
+  if (quarantine_ != nullptr) {
+    quarantine_->SetOnNews([this] { SendCrashNews(); });
+  }
   running_ = true;
   thread_ = std::thread([this] { Run(); });
 }
 
 void PublishedLoop::Stop() {
+  if (quarantine_ != nullptr) {
+    quarantine_->SetOnNews({});
+  }
   {
     const std::lock_guard lock(mutex_);
     stopping_ = true;
@@ -209,6 +220,32 @@
   }
 }
 
+void PublishedLoop::ExchangeCrashes(const HostId& host,
+                                    const PeerMessage& message) {
+  if (!crashes_) {
+    return;
+  }
+  if (const auto* hello = std::get_if<FeedHello>(&message)) {
+    const bool is_seed = hello->rank != FeedHello::kNoSeed;
+    crashes_->OnPeer(host,
+                     is_seed ? CrashListener::kSeed : CrashListener::kFollower,
+                     Clock::now(), out_);
+  } else if (const auto* report = std::get_if<CrashReport>(&message)) {
+    crashes_->OnReport(host, *report, Clock::now(), out_);
+  }
+}
+
+// On the thread of the call that brought the news: the loop's own may be
+// waiting for the store.
+void PublishedLoop::SendCrashNews() {
+  Outbox out;
+  {
+    const std::lock_guard lock(mutex_);
+    crashes_->Share(Clock::now(), out);
+  }
+  SendFrames(out.TakeParcels());
+}
+
 void PublishedLoop::OnLinkUp(const std::string& host,
                              std::uint64_t incarnation) {
   spdlog::info("event=peer-linked peer={} incarnation={}", host, incarnation);
@@ -222,6 +259,9 @@
   spdlog::info("event=peer-lost peer={} incarnation={}", host, incarnation);
   const std::lock_guard lock(mutex_);
   feed_.OnLinkDown(HostId(host), Clock::now());
+  if (crashes_) {
+    crashes_->OnPeerGone(HostId(host));
+  }
 }
 
 void PublishedLoop::OnFrame(const std::string& host,
@@ -235,6 +275,7 @@
         }
         std::unique_lock lock(mutex_);
         feed_.OnMessage(HostId(host), *message, Clock::now(), out_);
+        ExchangeCrashes(HostId(host), *message);
         Settle(lock);
         return {};
       },
--- a/fleet/published_loop.h
+++ b/fleet/published_loop.h
@@ -5,9 +5,11 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
+#include "fleet/crash_exchange.h"
 #include "fleet/published_feed.h"
 #include "fleet/published_source.h"
 #include "wire/peer_transport.h"
@@ -43,6 +45,9 @@
                 std::uint64_t random_seed);
   ~PublishedLoop() override;
 
+  // Exchanges evidence on crashes over the same links. Before Start; must
+  // outlive Stop.
+  void ShareCrashes(RequestQuarantine& quarantine);
   // `transport` may be null: then this host reads the store alone. It must
   // outlive Stop.
   void Start(PeerTransport* transport);
@@ -72,9 +77,13 @@
   // the lock, which is released meanwhile.
   void Settle(std::unique_lock<std::mutex>& lock);
   void SendFrames(const std::vector<Outbox::Parcel>& parcels);
+  // The caller holds the lock.
+  void ExchangeCrashes(const HostId& host, const PeerMessage& message);
+  void SendCrashNews();
 
   PublishedSource& source_;
   PublishedLoopEvents& events_;
+  RequestQuarantine* quarantine_ = nullptr;
   PeerTransport* transport_ = nullptr;
   std::thread thread_;
   std::atomic<bool> running_ = false;
@@ -85,6 +94,8 @@
   std::condition_variable wake_;
   bool stopping_ = false;
   PublishedFeed feed_;
+  // Null where no evidence is exchanged.
+  std::optional<CrashExchange> crashes_;
   Outbox out_;
   std::vector<SocketAddress> seeds_;
   // Hosts of the fleet as the owner was told last.
--- a/main/call_explainer.cc
+++ b/main/call_explainer.cc
@@ -36,6 +36,9 @@
             "the endpoint's connection broke after the call was sent; it may "
             "have run"},
     Meaning{"cancelled", "its caller left"},
+    Meaning{"quarantined",
+            "endpoints ended each time they ran the same request; it was not "
+            "sent to one more"},
     Meaning{"not-connected",
             "the endpoint could not be reached; it did not "
             "run"},
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -49,7 +49,9 @@
       state_(settings_.proxy, limits_, claims_),
       callers_(state_),
       admin_(settings_.admin, *this),
-      fleet_(MakeFleetOptions(settings_, incarnation_, {&limits_, &claims_}),
+      fleet_(MakeFleetOptions(settings_,
+                              incarnation_,
+                              {&limits_, &claims_, &state_.quarantine()}),
              *this) {
   if (!settings_.fleet.enabled) {
     limits_.SetAlone();
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -153,7 +153,9 @@
                  source_,
                  *this,
                  std::random_device()()),
-      transport_(MakeTransport(settings_, published_)) {}
+      transport_(MakeTransport(settings_, published_)) {
+  published_.ShareCrashes(state_.quarantine());
+}
 
 StoreDaemon::~StoreDaemon() {
   callers_.Stop();
--- a/policy/balancer.h
+++ b/policy/balancer.h
@@ -27,6 +27,9 @@
   // The answer went through a damasktack closer to the failure, which has
   // had its chance to send the call again.
   bool retried_deeper = false;
+  // Other endpoints have ended under this request, so that it may not be given
+  // to one more.
+  bool is_suspected = false;
   // Sends of this call so far, this one included.
   int sends = 1;
 };
--- /dev/null
+++ b/policy/crash_ledger.cc
@@ -0,0 +1,250 @@
+#include "policy/crash_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "policy/scaled_time.h"
+
+namespace damasktack {
+
+namespace {
+
+// Requests cleared last: a sighting may arrive after the word that clears it.
+constexpr std::size_t kMostCleared = 64;
+// A trial that has brought no word for this long is given to another call.
+constexpr Duration kTrialTime = std::chrono::seconds(5);
+constexpr std::uint32_t kStretchSteps = 1000;
+
+}  // namespace
+
+CrashLedger::CrashLedger(CrashLedgerOptions options, std::uint64_t seed)
+    : options_(options) {
+  Random random(seed);
+  stretch_ = 1 + 0.5 * UniformBelow(random, kStretchSteps) / kStretchSteps;
+}
+
+bool CrashLedger::Crash::Has(RequestFingerprint request) const {
+  return std::ranges::find(suspects, request) != suspects.end();
+}
+
+CrashLedger::Crash* CrashLedger::Find(const EndpointProcess& endpoint,
+                                      TimePoint at) {
+  const auto it = std::ranges::find_if(crashes_, [&](const Crash& crash) {
+    return crash.endpoint == endpoint &&
+           std::chrono::abs(crash.at - at) < options_.same_crash;
+  });
+  return it == crashes_.end() ? nullptr : &*it;
+}
+
+std::size_t CrashLedger::CountUnconfirmed() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      crashes_, [](const Crash& it) { return !it.is_confirmed; }));
+}
+
+CrashLedger::Crash* CrashLedger::FindOrAdd(const CrashSighting& sighting,
+                                           bool is_confirmed) {
+  Crash* crash = Find(sighting.endpoint, sighting.at);
+  if (crash == nullptr) {
+    if (!is_confirmed && CountUnconfirmed() >= options_.most_unconfirmed) {
+      return nullptr;
+    }
+    if (crashes_.size() >= options_.most_crashes) {
+      crashes_.pop_front();
+    }
+    crashes_.push_back({sighting.endpoint, sighting.at, is_confirmed, {}});
+    crash = &crashes_.back();
+  }
+  const bool has_room = crash->suspects.size() < options_.most_suspects;
+  if (has_room && !crash->Has(sighting.request)) {
+    crash->suspects.push_back(sighting.request);
+  }
+  return crash;
+}
+
+SuspectStep CrashLedger::Suspect(const CrashSighting& sighting) {
+  Forget(sighting.at);
+  const Crash* known = Find(sighting.endpoint, sighting.at);
+  if (known == nullptr) {
+    return FindOrAdd(sighting, false) != nullptr ? SuspectStep::kCheck
+                                                 : SuspectStep::kNone;
+  }
+  const bool is_news = known->is_confirmed && !known->Has(sighting.request);
+  FindOrAdd(sighting, false);
+  return is_news ? SuspectStep::kShare : SuspectStep::kNone;
+}
+
+std::vector<CrashSighting> CrashLedger::Confirm(
+    const EndpointProcess& endpoint) {
+  std::vector<CrashSighting> confirmed;
+  for (Crash& crash : crashes_) {
+    if (crash.is_confirmed || crash.endpoint != endpoint) {
+      continue;
+    }
+    crash.is_confirmed = true;
+    for (const RequestFingerprint it : crash.suspects) {
+      confirmed.push_back({it, endpoint, crash.at});
+    }
+  }
+  return confirmed;
+}
+
+void CrashLedger::Dismiss(const EndpointProcess& endpoint) {
+  std::erase_if(crashes_, [&](const Crash& it) {
+    return !it.is_confirmed && it.endpoint == endpoint;
+  });
+}
+
+bool CrashLedger::IsClearedSince(const CrashSighting& sighting) const {
+  return std::ranges::any_of(cleared_, [&](const ClearedRequest& it) {
+    return it.request == sighting.request && it.at >= sighting.at;
+  });
+}
+
+bool CrashLedger::Add(const CrashSighting& sighting, TimePoint now) {
+  Forget(now);
+  const bool is_old = now - sighting.at >= options_.memory;
+  if (is_old || IsClearedSince(sighting)) {
+    return false;
+  }
+  const Crash* known = Find(sighting.endpoint, sighting.at);
+  if (known != nullptr && known->is_confirmed && known->Has(sighting.request)) {
+    return false;
+  }
+  Crash* crash = FindOrAdd(sighting, true);
+  crash->is_confirmed = true;
+  return crash->Has(sighting.request);
+}
+
+std::size_t CrashLedger::Clear(const ClearedRequest& cleared, TimePoint now) {
+  Forget(now);
+  trials_.erase(cleared.request);
+  std::size_t confirmed = 0;
+  for (Crash& it : crashes_) {
+    if (it.at <= cleared.at && std::erase(it.suspects, cleared.request) > 0) {
+      confirmed += it.is_confirmed ? 1 : 0;
+    }
+  }
+  if (confirmed == 0) {
+    return 0;
+  }
+  std::erase_if(crashes_, [](const Crash& it) {
+    return it.is_confirmed && it.suspects.empty();
+  });
+  if (cleared_.size() >= kMostCleared) {
+    cleared_.pop_front();
+  }
+  cleared_.push_back(cleared);
+  return confirmed;
+}
+
+CrashLedger::Record CrashLedger::RecordOf(RequestFingerprint request) const {
+  Record record;
+  for (const Crash& it : crashes_) {
+    if (!it.Has(request)) {
+      continue;
+    }
+    record.is_suspected = true;
+    if (it.is_confirmed) {
+      ++record.crashes;
+      record.last_crash = std::max(record.last_crash, it.at);
+    }
+  }
+  return record;
+}
+
+std::size_t CrashLedger::CountCrashes(RequestFingerprint request) const {
+  return RecordOf(request).crashes;
+}
+
+std::size_t CrashLedger::CountUnexplained(RequestFingerprint request,
+                                          std::size_t crashes) const {
+  const auto explains = [&](RequestFingerprint other) {
+    const std::size_t theirs = CountCrashes(other);
+    return theirs >= options_.crashes_to_quarantine && theirs > crashes;
+  };
+  std::size_t count = 0;
+  for (const Crash& it : crashes_) {
+    if (it.is_confirmed && it.Has(request) &&
+        std::ranges::none_of(it.suspects, explains)) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+bool CrashLedger::IsCulprit(RequestFingerprint request) const {
+  const std::size_t crashes = CountCrashes(request);
+  return crashes >= options_.crashes_to_quarantine &&
+         CountUnexplained(request, crashes) >= options_.crashes_to_quarantine;
+}
+
+Duration CrashLedger::QuarantineAfter(std::size_t crashes) const {
+  Duration time = options_.quarantine;
+  for (std::size_t n = options_.crashes_to_quarantine;
+       n < crashes && time < options_.longest_quarantine; ++n) {
+    time *= 2;
+  }
+  return Scaled(std::min(time, options_.longest_quarantine), stretch_);
+}
+
+RequestJudgement CrashLedger::Judge(RequestFingerprint request, TimePoint now) {
+  Forget(now);
+  const Record record = RecordOf(request);
+  if (!record.is_suspected) {
+    return {};
+  }
+  if (!IsCulprit(request)) {
+    return {Suspicion::kSuspected, {}};
+  }
+  const TimePoint until = record.last_crash + QuarantineAfter(record.crashes);
+  if (now < until) {
+    return {Suspicion::kQuarantined, until - now};
+  }
+  const auto trial = trials_.find(request);
+  if (trial != trials_.end() && now < trial->second + kTrialTime) {
+    return {Suspicion::kQuarantined, trial->second + kTrialTime - now};
+  }
+  if (trials_.size() >= options_.most_crashes) {
+    trials_.clear();
+  }
+  trials_[request] = now;
+  return {Suspicion::kSuspected, {}, true};
+}
+
+std::vector<CrashSighting> CrashLedger::SightingsOf(
+    RequestFingerprint request) const {
+  std::vector<CrashSighting> sightings;
+  for (const Crash& it : crashes_) {
+    if (it.is_confirmed && it.Has(request)) {
+      sightings.push_back({request, it.endpoint, it.at});
+    }
+  }
+  return sightings;
+}
+
+std::vector<RequestFingerprint> CrashLedger::Suspects(std::size_t least) const {
+  std::unordered_map<RequestFingerprint, std::size_t> counts;
+  for (const Crash& crash : crashes_) {
+    for (const RequestFingerprint it : crash.suspects) {
+      counts[it] += crash.is_confirmed ? 1 : 0;
+    }
+  }
+  std::vector<RequestFingerprint> suspects;
+  for (const auto& [request, count] : counts) {
+    if (count >= least) {
+      suspects.push_back(request);
+    }
+  }
+  std::ranges::sort(suspects, [&](RequestFingerprint a, RequestFingerprint b) {
+    return std::pair(counts[b], a) < std::pair(counts[a], b);
+  });
+  return suspects;
+}
+
+void CrashLedger::Forget(TimePoint now) {
+  std::erase_if(crashes_, [&](const Crash& it) {
+    return now - it.at >= options_.memory;
+  });
+}
+
+}  // namespace damasktack
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -211,7 +211,7 @@
                                 const SendEnd& end,
                                 TimePoint now) {
   if (!MaySendAgain(end.result, offer.idempotent) || end.retried_deeper ||
-      offer.is_repeat) {
+      end.is_suspected || offer.is_repeat) {
     return false;
   }
   const int most_sends = offer.most_sends > 0
--- a/policy/service_balancer.cc
+++ b/policy/service_balancer.cc
@@ -127,7 +127,7 @@
 bool ServiceBalancer::MayRetry(const CallOffer& offer,
                                const SendEnd& end,
                                TimePoint now) {
-  if (!MaySendAgain(end.result, offer.idempotent)) {
+  if (!MaySendAgain(end.result, offer.idempotent) || end.is_suspected) {
     return false;
   }
   // A hop that is further from the failure would multiply what the nearest
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -9,6 +9,7 @@
 #include "policy/call_outcome.h"
 #include "policy/target_choice.h"
 #include "proxy/call_terms.h"
+#include "proxy/crash_check.h"
 #include "proxy/header_rewrite.h"
 #include "proxy/request_check.h"
 #include "proxy/request_digest.h"
@@ -364,11 +365,46 @@
 }
 
 // The name of the customer that a route stands for changes with the routes.
-RequestFingerprint CallHandler::Fingerprint(const HttpRequest& request) const {
-  const std::string_view caller = routing_->has_routes()
-                                      ? FromBeast(request[http::field::host])
-                                      : offer_.customer.text();
-  return FingerprintOf(caller, request);
+RequestFingerprint CallHandler::Fingerprint(const HttpRequest& request) {
+  if (!fingerprint_) {
+    const std::string_view caller = routing_->has_routes()
+                                        ? FromBeast(request[http::field::host])
+                                        : offer_.customer.text();
+    fingerprint_ = FingerprintOf(caller, request);
+  }
+  return *fingerprint_;
+}
+
+// Each host asks for itself, and any host may be the next to get the request:
+// without a common memory it would end an endpoint more at each attempt of its
+// caller, and with it all other calls there.
+bool CallHandler::IsQuarantined(const HttpRequest& request) {
+  RequestQuarantine& quarantine = state_.quarantine();
+  if (!quarantine.HoldsAny()) {
+    judgement_ = {};
+    return false;
+  }
+  judgement_ = quarantine.Judge(Fingerprint(request), Clock::now());
+  return judgement_.suspicion == Suspicion::kQuarantined;
+}
+
+void CallHandler::NoteForQuarantine(const HttpRequest& request,
+                                    const Placement& placement,
+                                    const ExchangeResult& sent) {
+  RequestQuarantine& quarantine = state_.quarantine();
+  if (sent.result == SendResult::kAnswered && quarantine.HoldsAny()) {
+    quarantine.OnAnswered(Fingerprint(request), Clock::now());
+  }
+  if (sent.result != SendResult::kBroken || !sent.wrote) {
+    return;
+  }
+  const EndpointTarget& target = placement.target;
+  const EndpointProcess endpoint{target.id, target.started_at};
+  if (quarantine.OnBroken({Fingerprint(request), endpoint, Clock::now()})) {
+    asio::co_spawn(loop_.context(),
+                   CheckForCrash(quarantine, endpoint, target.address),
+                   asio::detached);
+  }
 }
 
 asio::awaitable<ExchangeResult> CallHandler::SendOnce(
@@ -421,6 +457,14 @@
   if (!MaySend()) {
     co_return give_up(FailureKind::kDeadline);
   }
+  const auto refuse_quarantined = [&] {
+    Ending ending = give_up(FailureKind::kQuarantined);
+    ending.failure.SetRetryAfter(judgement_.retry_after);
+    return ending;
+  };
+  if (IsQuarantined(request)) {
+    co_return refuse_quarantined();
+  }
   dispatcher_->Offer(offer_, MakeOnPlaced(), Clock::now());
   while (true) {
     const Placement placement = co_await AwaitPlacement();
@@ -438,18 +482,29 @@
       }
       continue;
     }
+    if (!judgement_.is_trial && IsQuarantined(request)) {
+      if (GiveBack(placement)) {
+        call.OnRefused();
+        co_return refuse_quarantined();
+      }
+      continue;
+    }
     call.OnPlaced();
     ExchangeResult sent = co_await SendOnce(request, placement);
     call.OnSendEnd(ForOutcome(sent));
     if (!SurelyNotRun(ForOutcome(sent))) {
       unsure = KindOf(sent.result);
     }
+    const bool is_suspected = judgement_.suspicion != Suspicion::kNone &&
+                              !SurelyNotRun(ForOutcome(sent));
+    NoteForQuarantine(request, placement, sent);
     const SendEnd end{.token = offer_.token,
                       .endpoint = placement.endpoint,
                       .result = sent.result,
                       .took = sent.took,
                       .report = sent.report,
                       .retried_deeper = WentThroughAnotherHop(sent, names()),
+                      .is_suspected = is_suspected,
                       .sends = ++sends};
     const AfterSend after =
         dispatcher_->Finish(offer_, end, MakeOnPlaced(), Clock::now());
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -43,11 +43,17 @@
   asio::awaitable<void> Sleep(TimePoint until);
   ServiceDispatcher::OnPlaced MakeOnPlaced();
   bool MaySend() const;
+  // Whether the request crashes endpoints; asked before each send.
+  bool IsQuarantined(const HttpRequest& request);
+  // What the end of a send says of the request: whether it crashes endpoints.
+  void NoteForQuarantine(const HttpRequest& request,
+                         const Placement& placement,
+                         const ExchangeResult& sent);
   // Hands a placement back without a send. False where the call is placed
   // again.
   bool GiveBack(const Placement& placement);
   HttpResponse Render(const HttpRequest& request, Ending ending);
-  RequestFingerprint Fingerprint(const HttpRequest& request) const;
+  RequestFingerprint Fingerprint(const HttpRequest& request);
   // Leaves a line where the call did not simply succeed.
   void Log(const HttpRequest& request, const Ending& ending, TimePoint now);
   const ProtocolNames& names() const { return state_.options().names; }
@@ -68,6 +74,9 @@
   std::shared_ptr<ClaimEnd> claim_end_;
   std::shared_ptr<ClaimHold> claim_;
   std::shared_ptr<EndpointExchange> exchange_;
+  // Of the request, once it was needed.
+  std::optional<RequestFingerprint> fingerprint_;
+  RequestJudgement judgement_;
   Duration at_endpoints_{};
   int sends_ = 0;
   EndpointId last_endpoint_;
--- a/proxy/failure.cc
+++ b/proxy/failure.cc
@@ -82,6 +82,12 @@
     {FailureKind::kClaimUnavailable, "claim-unavailable",
      http::status::service_unavailable,
      "send the same request again under the same Idempotency-Key", seconds(1)},
+    {FailureKind::kQuarantined, "quarantined",
+     http::status::service_unavailable,
+     "endpoints ended each time they ran this request: have its service "
+     "mended, "
+     "and try again after the time in Retry-After",
+     seconds(60)},
     {FailureKind::kNotConnected, "not-connected",
      http::status::service_unavailable,
      "try again after the time in Retry-After", seconds(1)},
--- a/proxy/failure.h
+++ b/proxy/failure.h
@@ -40,12 +40,13 @@
   kKeyInProgress,
   kKeyAlreadyRan,
   kClaimUnavailable,
+  kQuarantined,
   kNotConnected,
   kBroken,
   kTimedOut,
   kCancelled,
 };
-inline constexpr std::size_t kFailureKindCount = 28;
+inline constexpr std::size_t kFailureKindCount = 29;
 
 // The name in answers and metrics.
 std::string_view ToString(FailureKind kind);
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -90,6 +90,7 @@
 std::string ProxyState::RenderMetrics(TimePoint now) const {
   std::ostringstream out;
   out << metrics_.Render() << counters_.Render(stopping_)
+      << quarantine_.RenderMetrics()
       << "# TYPE damasktack_call_lines_dropped_total counter\n"
       << "damasktack_call_lines_dropped_total " << call_log_.dropped() << "\n"
       << "# TYPE damasktack_probes_total counter\n"
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -12,6 +12,7 @@
 
 #include "fleet/claim_gate.h"
 #include "fleet/limit_gate.h"
+#include "fleet/request_quarantine.h"
 #include "policy/measured_balancer.h"
 #include "policy/service_balancer.h"
 #include "proxy/call_log.h"
@@ -56,6 +57,7 @@
   const ProxyOptions& options() const { return options_; }
   LimitGate& limits() { return limits_; }
   ClaimGate& claims() { return claims_; }
+  RequestQuarantine& quarantine() { return quarantine_; }
   CallMetrics& metrics() { return metrics_; }
   const CallMetrics& metrics() const { return metrics_; }
   ProxyCounters& counters() { return counters_; }
@@ -110,6 +112,7 @@
   const ProxyOptions options_;
   LimitGate& limits_;
   ClaimGate& claims_;
+  RequestQuarantine quarantine_;
   CallMetrics metrics_;
   ProxyCounters counters_;
   CallLog call_log_;
--- a/tests/main/test_crashing_requests.cc
+++ b/tests/main/test_crashing_requests.cc
@@ -15,9 +15,15 @@
 #include "tests/support/crashing_endpoint.h"
 
 // A request crashed every endpoint that ran it, and its caller sent it again
-// and again, each time to another host. Each host gave it to a sound endpoint,
-// and to a second one when the first was lost, so that one request ended
-// dozens of endpoints and most other callers of the service were refused.
+// and again, each time to another host. No host remembered what the request had
+// done: each gave it to a sound endpoint, and to a second one when the first
+// was lost. Most other callers of the service were refused, because 24
+// endpoints ended under one request:
+//   event=call-ended request=3ab254a846146522 failure=broken endpoint=e3
+//   sends=2 event=call-ended request=3ab254a846146522 failure=broken
+//   endpoint=e0 sends=2
+// The endpoints had nothing else to do, so that it was not load that ended
+// them. Hosts now tell each other which requests endpoints ended under.
 namespace damasktack {
 namespace {
 
