One call's side of the quarantine stands apart; the soak sends crashing requests

Change: proxy/call_suspicion holds fingerprint, judgement and what ends of sends say; both reasons not to send stand in ObstacleToSend. The soak has a service of endpoints that crash and a caller that sends them the same request again and again; in the calm one request may end six at most, and each host refuses it.

--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -9,7 +9,6 @@
 #include "policy/call_outcome.h"
 #include "policy/target_choice.h"
 #include "proxy/call_terms.h"
-#include "proxy/crash_check.h"
 #include "proxy/header_rewrite.h"
 #include "proxy/request_check.h"
 #include "proxy/request_digest.h"
@@ -147,6 +146,7 @@
     : state_(state),
       loop_(loop),
       wake_(loop.context()),
+      suspicion_(state.quarantine(), loop.context()),
       call_id_(names().callers_name_calls ? std::string() : MakeCallId()) {}
 
 void CallHandler::CallerGone() {
@@ -352,6 +352,17 @@
   return !caller_gone_ && offer_.deadline - Clock::now() >= kLeastTimeToSend;
 }
 
+std::optional<FailureKind> CallHandler::ObstacleToSend(
+    const HttpRequest& request) {
+  if (!MaySend()) {
+    return FailureKind::kDeadline;
+  }
+  if (suspicion_.IsQuarantined(CallerOf(request), request)) {
+    return FailureKind::kQuarantined;
+  }
+  return std::nullopt;
+}
+
 bool CallHandler::GiveBack(const Placement& placement) {
   const SendEnd end{.token = offer_.token,
                     .endpoint = placement.endpoint,
@@ -365,46 +376,9 @@
 }
 
 // The name of the customer that a route stands for changes with the routes.
-RequestFingerprint CallHandler::Fingerprint(const HttpRequest& request) {
-  if (!fingerprint_) {
-    const std::string_view caller = routing_->has_routes()
-                                        ? FromBeast(request[http::field::host])
-                                        : offer_.customer.text();
-    fingerprint_ = FingerprintOf(caller, request);
-  }
-  return *fingerprint_;
-}
-
-// Each host asks for itself, and any host may be the next to get the request:
-// without a common memory it would end an endpoint more at each attempt of its
-// caller, and with it all other calls there.
-bool CallHandler::IsQuarantined(const HttpRequest& request) {
-  RequestQuarantine& quarantine = state_.quarantine();
-  if (!quarantine.HoldsAny()) {
-    judgement_ = {};
-    return false;
-  }
-  judgement_ = quarantine.Judge(Fingerprint(request), Clock::now());
-  return judgement_.suspicion == Suspicion::kQuarantined;
-}
-
-void CallHandler::NoteForQuarantine(const HttpRequest& request,
-                                    const Placement& placement,
-                                    const ExchangeResult& sent) {
-  RequestQuarantine& quarantine = state_.quarantine();
-  if (sent.result == SendResult::kAnswered && quarantine.HoldsAny()) {
-    quarantine.OnAnswered(Fingerprint(request), Clock::now());
-  }
-  if (sent.result != SendResult::kBroken || !sent.wrote) {
-    return;
-  }
-  const EndpointTarget& target = placement.target;
-  const EndpointProcess endpoint{target.id, target.started_at};
-  if (quarantine.OnBroken({Fingerprint(request), endpoint, Clock::now()})) {
-    asio::co_spawn(loop_.context(),
-                   CheckForCrash(quarantine, endpoint, target.address),
-                   asio::detached);
-  }
+std::string_view CallHandler::CallerOf(const HttpRequest& request) const {
+  return routing_->has_routes() ? FromBeast(request[http::field::host])
+                                : std::string_view(offer_.customer.text());
 }
 
 asio::awaitable<ExchangeResult> CallHandler::SendOnce(
@@ -454,16 +428,15 @@
     return Ending{outcome, std::nullopt, MakeFailure(told)};
   };
   int sends = 0;
-  if (!MaySend()) {
-    co_return give_up(FailureKind::kDeadline);
-  }
-  const auto refuse_quarantined = [&] {
-    Ending ending = give_up(FailureKind::kQuarantined);
-    ending.failure.SetRetryAfter(judgement_.retry_after);
+  const auto refuse = [&](FailureKind kind) {
+    Ending ending = give_up(kind);
+    if (ending.outcome == Outcome::kNotRun) {
+      ending.failure.SetRetryAfter(suspicion_.retry_after());
+    }
     return ending;
   };
-  if (IsQuarantined(request)) {
-    co_return refuse_quarantined();
+  if (const auto obstacle = ObstacleToSend(request)) {
+    co_return refuse(*obstacle);
   }
   dispatcher_->Offer(offer_, MakeOnPlaced(), Clock::now());
   while (true) {
@@ -474,18 +447,11 @@
       ending.failure.SetRetryAfter(placement.retry_after);
       co_return ending;
     }
-    if (!MaySend()) {
+    if (const auto obstacle = ObstacleToSend(request)) {
       const bool is_back = GiveBack(placement);
       if (is_back) {
         call.OnRefused();
-        co_return give_up(FailureKind::kDeadline);
-      }
-      continue;
-    }
-    if (!judgement_.is_trial && IsQuarantined(request)) {
-      if (GiveBack(placement)) {
-        call.OnRefused();
-        co_return refuse_quarantined();
+        co_return refuse(*obstacle);
       }
       continue;
     }
@@ -495,9 +461,9 @@
     if (!SurelyNotRun(ForOutcome(sent))) {
       unsure = KindOf(sent.result);
     }
-    const bool is_suspected = judgement_.suspicion != Suspicion::kNone &&
-                              !SurelyNotRun(ForOutcome(sent));
-    NoteForQuarantine(request, placement, sent);
+    const bool is_suspected =
+        suspicion_.IsSuspected() && !SurelyNotRun(ForOutcome(sent));
+    suspicion_.OnSendEnd(CallerOf(request), request, placement.target, sent);
     const SendEnd end{.token = offer_.token,
                       .endpoint = placement.endpoint,
                       .result = sent.result,
@@ -552,7 +518,7 @@
   record.routes_version =
       routing_->has_routes() ? routing_->book()->version : 0;
   if (IsWorthALine(record)) {
-    record.request = Fingerprint(request);
+    record.request = suspicion_.Fingerprint(CallerOf(request), request);
     state_.call_log().Write(record, now);
   }
 }
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -3,8 +3,9 @@
 
 #include <memory>
 #include <optional>
+#include <string_view>
 
-#include "core/request_fingerprint.h"
+#include "proxy/call_suspicion.h"
 #include "proxy/claim_hold.h"
 #include "proxy/failure.h"
 #include "proxy/http_types.h"
@@ -43,17 +44,15 @@
   asio::awaitable<void> Sleep(TimePoint until);
   ServiceDispatcher::OnPlaced MakeOnPlaced();
   bool MaySend() const;
-  // Whether the request crashes endpoints; asked before each send.
-  bool IsQuarantined(const HttpRequest& request);
-  // What the end of a send says of the request: whether it crashes endpoints.
-  void NoteForQuarantine(const HttpRequest& request,
-                         const Placement& placement,
-                         const ExchangeResult& sent);
+  // Why the request is not to be sent now; null where nothing speaks against
+  // it.
+  std::optional<FailureKind> ObstacleToSend(const HttpRequest& request);
   // Hands a placement back without a send. False where the call is placed
   // again.
   bool GiveBack(const Placement& placement);
   HttpResponse Render(const HttpRequest& request, Ending ending);
-  RequestFingerprint Fingerprint(const HttpRequest& request);
+  // Whose request it is, the same at each host.
+  std::string_view CallerOf(const HttpRequest& request) const;
   // Leaves a line where the call did not simply succeed.
   void Log(const HttpRequest& request, const Ending& ending, TimePoint now);
   const ProtocolNames& names() const { return state_.options().names; }
@@ -61,6 +60,7 @@
   ProxyState& state_;
   ProxyLoop& loop_;
   asio::steady_timer wake_;
+  CallSuspicion suspicion_;
   RoutingTablePtr routing_;
   const Contract* contract_ = nullptr;
   const ServiceSpec* service_ = nullptr;
@@ -74,9 +74,6 @@
   std::shared_ptr<ClaimEnd> claim_end_;
   std::shared_ptr<ClaimHold> claim_;
   std::shared_ptr<EndpointExchange> exchange_;
-  // Of the request, once it was needed.
-  std::optional<RequestFingerprint> fingerprint_;
-  RequestJudgement judgement_;
   Duration at_endpoints_{};
   int sends_ = 0;
   EndpointId last_endpoint_;
--- /dev/null
+++ b/proxy/call_suspicion.cc
@@ -0,0 +1,51 @@
+#include "proxy/call_suspicion.h"
+
+#include "proxy/crash_check.h"
+#include "proxy/request_digest.h"
+
+namespace damasktack {
+
+RequestFingerprint CallSuspicion::Fingerprint(std::string_view caller,
+                                              const HttpRequest& request) {
+  if (!fingerprint_) {
+    fingerprint_ = FingerprintOf(caller, request);
+  }
+  return *fingerprint_;
+}
+
+// Any host may be the next to get the request. Without evidence that all of
+// them share it would end an endpoint more at each attempt of its caller, and
+// with it all other calls there.
+bool CallSuspicion::IsQuarantined(std::string_view caller,
+                                  const HttpRequest& request) {
+  if (judgement_.is_trial) {
+    return false;
+  }
+  judgement_ = {};
+  if (quarantine_.HoldsAny()) {
+    judgement_ = quarantine_.Judge(Fingerprint(caller, request), Clock::now());
+  }
+  return judgement_.suspicion == Suspicion::kQuarantined;
+}
+
+void CallSuspicion::OnSendEnd(std::string_view caller,
+                              const HttpRequest& request,
+                              const EndpointTarget& target,
+                              const ExchangeResult& sent) {
+  if (sent.result == SendResult::kAnswered && quarantine_.HoldsAny()) {
+    quarantine_.OnAnswered(Fingerprint(caller, request), Clock::now());
+  }
+  if (sent.result != SendResult::kBroken || !sent.wrote) {
+    return;
+  }
+  const EndpointProcess endpoint{target.id, target.started_at};
+  const CrashSighting sighting{Fingerprint(caller, request), endpoint,
+                               Clock::now()};
+  if (quarantine_.OnBroken(sighting)) {
+    asio::co_spawn(context_,
+                   CheckForCrash(quarantine_, endpoint, target.address),
+                   asio::detached);
+  }
+}
+
+}  // namespace damasktack
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -16,6 +16,7 @@
 constexpr auto kReadTimeout = std::chrono::seconds(3);
 constexpr auto kPause = std::chrono::milliseconds(10);
 constexpr auto kVersionPause = std::chrono::milliseconds(60);
+constexpr auto kCrashingPause = std::chrono::milliseconds(250);
 
 httplib::Headers HeadersOf(const std::string& call) {
   return {{"Host", "soak.example"},
@@ -35,6 +36,7 @@
     threads_.emplace_back([this, seed, n] { Call(seed * kCallers + n); });
   }
   threads_.emplace_back([this] { AskVersions(); });
+  threads_.emplace_back([this, seed] { SendCrashing(seed); });
 }
 
 SoakCallers::~SoakCallers() {
@@ -136,4 +138,17 @@
   }
 }
 
+void SoakCallers::SendCrashing(std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  while (!stopping_) {
+    const int host = static_cast<int>(random() % fleet_.hosts());
+    const SocketAddress at = fleet_.DirectOf(host);
+    httplib::Client client(at.ip, at.port);
+    client.set_connection_timeout(std::chrono::milliseconds(200));
+    client.set_read_timeout(kReadTimeout);
+    client.Get("/fragile/crash", HeadersOf(prefix_ + "crash"));
+    std::this_thread::sleep_for(kCrashingPause);
+  }
+}
+
 }  // namespace damasktack
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -34,6 +34,8 @@
 
   void Call(std::uint64_t seed);
   void AskVersions();
+  // The same request again and again, at any host; it crashes what runs it.
+  void SendCrashing(std::uint64_t seed);
   void AskVersion(int host, int version, Seen& seen);
 
   const SoakFleet& fleet_;
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -17,6 +17,9 @@
 constexpr Duration kGrace = std::chrono::seconds(6);
 constexpr Duration kRestartDelay = std::chrono::milliseconds(300);
 constexpr auto kService = "s";
+constexpr auto kFragileService = "f";
+constexpr int kFragileEndpoints = 6;
+constexpr Duration kFragileDownFor = std::chrono::seconds(1);
 
 std::string MakeFolder() {
   std::string path =
@@ -40,8 +43,22 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
-Json Route(const std::string& prefix, const std::string& kind) {
-  return Json{prefix, "soak.example", prefix, kind, 1500, 300, 2, kService};
+Json Route(const std::string& prefix,
+           const std::string& kind,
+           const std::string& service = kService) {
+  return Json{prefix, "soak.example", prefix, kind, 1500, 300, 2, service};
+}
+
+// As published; the caller adds where it is.
+Json EndpointEntry(const std::string& service,
+                   int zone,
+                   const std::string& state) {
+  return Json{{"info",
+               {{"service", service},
+                {"version", "v1"},
+                {"zone", "z" + std::to_string(zone)},
+                {"slots", 6}}},
+              {"status", {{"state", state}, {"sequence", 1}, {"cold_ms", 0}}}};
 }
 
 }  // namespace
@@ -61,6 +78,7 @@
         proxies_.Add({"127.0.0.1", endpoints_[n].server->port()});
     PutEndpoint(n, "ready");
   }
+  PutFragileEndpoints();
   PublishNextVersion();
   for (Host& it : hosts_) {
     it.callers = ports_.Take();
@@ -148,9 +166,11 @@
                       "target_latency_ms", "max_attempts", "service"}},
                     {"rows",
                      {Route("/read/", "safe"), Route("/write/", "unsafe"),
+                      Route("/fragile/", "safe", kFragileService),
                       Route("/v" + std::to_string(next) + "/", "safe")}}};
   const Json services{{"columns", {"name", "health_path"}},
-                      {"rows", Json::array({{kService, "/health"}})}};
+                      {"rows", Json::array({{kService, "/health"},
+                                            {kFragileService, "/health"}})}};
   store_.PutJson(
       "op/config",
       Json{{"version", next}, {"routes", routes}, {"services", services}}
@@ -160,17 +180,28 @@
 
 void SoakFleet::PutEndpoint(int n, const std::string& state) {
   const Endpoint& it = endpoints_[n];
-  store_.PutJson(
-      "servers/" + it.server->id(),
-      Json{{"address", Local(it.link)},
-           {"born", it.life},
-           {"info",
-            {{"service", it.server->service()},
-             {"version", "v1"},
-             {"zone", "z" + std::to_string(n % 2)},
-             {"slots", 6}}},
-           {"status", {{"state", state}, {"sequence", 1}, {"cold_ms", 0}}}}
-          .dump());
+  Json entry = EndpointEntry(it.server->service(), n % 2, state);
+  entry["address"] = Local(it.link);
+  entry["born"] = it.life;
+  store_.PutJson("servers/" + it.server->id(), entry.dump());
+}
+
+void SoakFleet::PutFragileEndpoints() {
+  for (int n = 0; n < kFragileEndpoints; ++n) {
+    fragile_.push_back(std::make_unique<CrashingEndpoint>(
+        "X-Damasktack-Request-Id", kFragileDownFor));
+    Json entry = EndpointEntry(kFragileService, n % 2, "ready");
+    entry["address"] = Local(fragile_.back()->port());
+    store_.PutJson("servers/f" + std::to_string(n), entry.dump());
+  }
+}
+
+int SoakFleet::crashes() const {
+  int crashes = 0;
+  for (const auto& it : fragile_) {
+    crashes += it->crashes();
+  }
+  return crashes;
 }
 
 void SoakFleet::Drain(int endpoint) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -13,6 +13,7 @@
 #include "tests/soak/fault_proxy.h"
 #include "tests/soak/soak_endpoint.h"
 #include "tests/soak/soak_ledger.h"
+#include "tests/support/crashing_endpoint.h"
 #include "tests/system/child_process.h"
 
 namespace damasktack {
@@ -64,6 +65,10 @@
   void Renew(int endpoint);
   SoakEndpoint& endpoint(int n) { return *endpoints_[n].server; }
 
+  // Endpoints of a service of their own that have ended under requests which
+  // crash what runs them.
+  int crashes() const;
+
   // Starts hosts that have ended again, and looks after those that stop.
   void Tick(TimePoint now);
   bool AllRun() const;
@@ -95,6 +100,7 @@
   std::string SettingsOf(int n) const;
   std::string PathOf(int n, const std::string& suffix) const;
   void PutEndpoint(int n, const std::string& state);
+  void PutFragileEndpoints();
   void CheckStop(int n, TimePoint now);
 
   SoakLedger& ledger_;
@@ -108,6 +114,7 @@
   std::vector<Host> hosts_;
   std::vector<std::atomic<int>> lives_;
   std::vector<Endpoint> endpoints_;
+  std::vector<std::unique_ptr<CrashingEndpoint>> fragile_;
   std::atomic<int> version_ = 0;
 };
 
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -21,6 +21,10 @@
 constexpr Duration kInForce = milliseconds(2000);
 // Of the calls of a calm second; a busy machine delays some.
 constexpr double kLeastServed = 0.9;
+// Endpoints that one request may end in a calm: three show what it does, and
+// it may be sent three times more. In the trouble before, hosts lose what they
+// knew of it.
+constexpr int kMostCrashes = 6;
 
 int StatusOf(const SocketAddress& at, const std::string& path) {
   httplib::Client client(at.ip, at.port);
@@ -206,6 +210,20 @@
   fleet_.endpoint(leaving).ForbidArrivals(false);
 }
 
+void SoakRun::CheckCrashing(int before) {
+  const int crashes = fleet_.crashes() - before;
+  if (crashes > kMostCrashes) {
+    ledger_.Violation("one request ended " + std::to_string(crashes) +
+                      " endpoints in a calm");
+  }
+  for (int n = 0; n < fleet_.hosts(); ++n) {
+    if (StatusOf(fleet_.DirectOf(n), "/fragile/crash") != 503) {
+      ledger_.Violation("h" + std::to_string(n) +
+                        ": a request that crashes endpoints is not refused");
+    }
+  }
+}
+
 void SoakRun::CheckCalm() {
   HealAll();
   // Stops that were under way end, and the last hosts start again.
@@ -223,8 +241,10 @@
     Trouble();
     CheckCalm();
     callers.TakeCount();
+    const int crashes = fleet_.crashes();
     CheckVersionInForce();
     CheckLeaving();
+    CheckCrashing(crashes);
     const SoakCallers::Count calm = callers.TakeCount();
     if (calm.served < kLeastServed * calm.asked) {
       ledger_.Violation("only " + std::to_string(calm.served) + " of " +
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -57,6 +57,8 @@
   void CheckCalm();
   void CheckVersionInForce();
   void CheckLeaving();
+  // `before` endpoints had ended when the calm began.
+  void CheckCrashing(int before);
   int Draw(int below);
 
   const SoakPlan plan_;
