Requests are looked up in constant time while crashes are remembered

Cause: each request and each answer scanned all remembered crashes (256 with up to 64 suspects) for as long as any was remembered, which is two hours. And two callers behind one host with the same path, but other credentials, were one request. Change: the ledger counts the crashes that name a suspect; Authorization and Cookie belong to the digest.

--- a/policy/crash_ledger.cc
+++ b/policy/crash_ledger.cc
@@ -27,6 +27,35 @@
   return std::ranges::find(suspects, request) != suspects.end();
 }
 
+void CrashLedger::AddSuspect(Crash& crash, RequestFingerprint request) {
+  const bool has_room = crash.suspects.size() < options_.most_suspects;
+  if (has_room && !crash.Has(request)) {
+    crash.suspects.push_back(request);
+    ++mentions_[request];
+  }
+}
+
+bool CrashLedger::RemoveSuspect(Crash& crash, RequestFingerprint request) {
+  if (std::erase(crash.suspects, request) == 0) {
+    return false;
+  }
+  const auto it = mentions_.find(request);
+  if (--it->second == 0) {
+    mentions_.erase(it);
+  }
+  return true;
+}
+
+template <typename Predicate>
+void CrashLedger::RemoveCrashes(Predicate is_removed) {
+  for (Crash& crash : crashes_) {
+    while (is_removed(crash) && !crash.suspects.empty()) {
+      RemoveSuspect(crash, crash.suspects.back());
+    }
+  }
+  std::erase_if(crashes_, is_removed);
+}
+
 CrashLedger::Crash* CrashLedger::Find(const EndpointProcess& endpoint,
                                       TimePoint at) {
   const auto it = std::ranges::find_if(crashes_, [&](const Crash& crash) {
@@ -49,15 +78,13 @@
       return nullptr;
     }
     if (crashes_.size() >= options_.most_crashes) {
-      crashes_.pop_front();
+      const Crash* oldest = &crashes_.front();
+      RemoveCrashes([&](const Crash& it) { return &it == oldest; });
     }
     crashes_.push_back({sighting.endpoint, sighting.at, is_confirmed, {}});
     crash = &crashes_.back();
   }
-  const bool has_room = crash->suspects.size() < options_.most_suspects;
-  if (has_room && !crash->Has(sighting.request)) {
-    crash->suspects.push_back(sighting.request);
-  }
+  AddSuspect(*crash, sighting.request);
   return crash;
 }
 
@@ -89,7 +116,7 @@
 }
 
 void CrashLedger::Dismiss(const EndpointProcess& endpoint) {
-  std::erase_if(crashes_, [&](const Crash& it) {
+  RemoveCrashes([&](const Crash& it) {
     return !it.is_confirmed && it.endpoint == endpoint;
   });
 }
@@ -117,19 +144,21 @@
 
 std::size_t CrashLedger::Clear(const ClearedRequest& cleared, TimePoint now) {
   Forget(now);
+  if (!IsSuspect(cleared.request)) {
+    return 0;
+  }
   trials_.erase(cleared.request);
   std::size_t confirmed = 0;
   for (Crash& it : crashes_) {
-    if (it.at <= cleared.at && std::erase(it.suspects, cleared.request) > 0) {
+    if (it.at <= cleared.at && RemoveSuspect(it, cleared.request)) {
       confirmed += it.is_confirmed ? 1 : 0;
     }
   }
   if (confirmed == 0) {
     return 0;
   }
-  std::erase_if(crashes_, [](const Crash& it) {
-    return it.is_confirmed && it.suspects.empty();
-  });
+  RemoveCrashes(
+      [](const Crash& it) { return it.is_confirmed && it.suspects.empty(); });
   if (cleared_.size() >= kMostCleared) {
     cleared_.pop_front();
   }
@@ -140,11 +169,7 @@
 CrashLedger::Record CrashLedger::RecordOf(RequestFingerprint request) const {
   Record record;
   for (const Crash& it : crashes_) {
-    if (!it.Has(request)) {
-      continue;
-    }
-    record.is_suspected = true;
-    if (it.is_confirmed) {
+    if (it.is_confirmed && it.Has(request)) {
       ++record.crashes;
       record.last_crash = std::max(record.last_crash, it.at);
     }
@@ -189,13 +214,13 @@
 
 RequestJudgement CrashLedger::Judge(RequestFingerprint request, TimePoint now) {
   Forget(now);
-  const Record record = RecordOf(request);
-  if (!record.is_suspected) {
+  if (!IsSuspect(request)) {
     return {};
   }
   if (!IsCulprit(request)) {
     return {Suspicion::kSuspected, {}};
   }
+  const Record record = RecordOf(request);
   const TimePoint until = record.last_crash + QuarantineAfter(record.crashes);
   if (now < until) {
     return {Suspicion::kQuarantined, until - now};
@@ -242,9 +267,12 @@
 }
 
 void CrashLedger::Forget(TimePoint now) {
-  std::erase_if(crashes_, [&](const Crash& it) {
+  const auto is_old = [&](const Crash& it) {
     return now - it.at >= options_.memory;
-  });
+  };
+  if (!crashes_.empty() && is_old(crashes_.front())) {
+    RemoveCrashes(is_old);
+  }
 }
 
 }  // namespace damasktack
--- a/policy/crash_ledger.h
+++ b/policy/crash_ledger.h
@@ -135,13 +135,21 @@
     bool Has(RequestFingerprint request) const;
   };
 
-  // What the crashes say of one request.
+  // What the confirmed crashes say of one request.
   struct Record {
     std::size_t crashes = 0;
-    bool is_suspected = false;
     TimePoint last_crash;
   };
 
+  bool IsSuspect(RequestFingerprint request) const {
+    return mentions_.contains(request);
+  }
+  // These two and Forget keep `mentions_` in step with the crashes.
+  void AddSuspect(Crash& crash, RequestFingerprint request);
+  bool RemoveSuspect(Crash& crash, RequestFingerprint request);
+  template <typename Predicate>
+  void RemoveCrashes(Predicate is_removed);
+
   Crash* Find(const EndpointProcess& endpoint, TimePoint at);
   // Null where there is no room.
   Crash* FindOrAdd(const CrashSighting& sighting, bool is_confirmed);
@@ -159,6 +167,9 @@
   // first trial is over before the next host tries.
   double stretch_ = 1;
   std::deque<Crash> crashes_;
+  // Crashes that name each suspect. Every request is looked up here while
+  // anything is suspected, and hardly any is found.
+  std::unordered_map<RequestFingerprint, std::size_t> mentions_;
   std::deque<ClearedRequest> cleared_;
   // When each request was last on trial here.
   std::unordered_map<RequestFingerprint, TimePoint> trials_;
--- a/proxy/request_digest.cc
+++ b/proxy/request_digest.cc
@@ -15,13 +15,17 @@
 
 RequestFingerprint FingerprintOf(std::string_view caller,
                                  const HttpRequest& request) {
-  const XXH64_hash_t seed = XXH3_64bits(caller.data(), caller.size());
-  const std::string head = std::string(request.method_string()) + "\n" +
-                           std::string(request.target()) + "\n";
-  const XXH64_hash_t head_digest =
-      XXH3_64bits_withSeed(head.data(), head.size(), seed);
-  return {XXH3_64bits_withSeed(request.body().data(), request.body().size(),
-                               head_digest)};
+  std::string head(caller);
+  for (const std::string_view it :
+       {FromBeast(request.method_string()), FromBeast(request.target()),
+        FromBeast(request[http::field::authorization]),
+        FromBeast(request[http::field::cookie])}) {
+    head += '\n';
+    head += it;
+  }
+  const XXH64_hash_t seed = XXH3_64bits(head.data(), head.size());
+  return {
+      XXH3_64bits_withSeed(request.body().data(), request.body().size(), seed)};
 }
 
 }  // namespace damasktack
--- a/proxy/request_digest.h
+++ b/proxy/request_digest.h
@@ -13,7 +13,8 @@
 std::uint64_t DigestOf(const HttpRequest& request);
 
 // `caller` is the customer or, where callers have no keys, the host that the
-// request names. Headers are left out: some differ between attempts.
+// request names. Of the headers only credentials count, which tell the callers
+// behind one host apart; others differ from attempt to attempt.
 RequestFingerprint FingerprintOf(std::string_view caller,
                                  const HttpRequest& request);
 
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -211,6 +211,9 @@
 }
 
 void SoakRun::CheckCrashing(int before) {
+  if (fleet_.crashes() == 0) {
+    ledger_.Violation("no endpoint was crashed: the check shows nothing");
+  }
   const int crashes = fleet_.crashes() - before;
   if (crashes > kMostCrashes) {
     ledger_.Violation("one request ended " + std::to_string(crashes) +
--- a/tests/support/crashing_endpoint.h
+++ b/tests/support/crashing_endpoint.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdint>
 #include <memory>
