--- a/tests/main/test_crashing_requests.cc
+++ b/tests/main/test_crashing_requests.cc
@@ -107,6 +107,16 @@
   }
 }
 
+template <typename AnyDaemon>
+std::vector<std::uint16_t> CallerPorts(
+    const std::vector<std::unique_ptr<AnyDaemon>>& daemons) {
+  std::vector<std::uint16_t> ports;
+  for (const auto& it : daemons) {
+    ports.push_back(it->caller_port());
+  }
+  return ports;
+}
+
 class StoreFleet {
  public:
   StoreFleet() : endpoints_(MakeEndpoints(kCall)) {
@@ -130,13 +140,7 @@
     }
   }
 
-  std::vector<std::uint16_t> ports() const {
-    std::vector<std::uint16_t> ports;
-    for (const auto& it : daemons_) {
-      ports.push_back(it->caller_port());
-    }
-    return ports;
-  }
+  std::vector<std::uint16_t> ports() const { return CallerPorts(daemons_); }
   int crashes() const { return CountCrashes(endpoints_); }
 
   static constexpr auto kCall = "X-Damasktack-Request-Id";
@@ -208,13 +212,7 @@
     }
   }
 
-  std::vector<std::uint16_t> ports() const {
-    std::vector<std::uint16_t> ports;
-    for (const auto& it : daemons_) {
-      ports.push_back(it->caller_port());
-    }
-    return ports;
-  }
+  std::vector<std::uint16_t> ports() const { return CallerPorts(daemons_); }
   int crashes() const { return CountCrashes(endpoints_); }
 
  private:
