The soak drains zones, in trouble and in a calm

Cause: drains of zones were tested in memory and in one process, never with real processes under faults. Change: a fault that drains a zone for a while, and a check in the calm that no request reaches its endpoints once it is in force, that callers are served by the others, and that it ends.

--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -118,7 +118,7 @@
                               : Local(hosts_[seed].peer_link));
   }
   const Json settings{{"host", "h" + std::to_string(n)},
-                      {"zone", "z" + std::to_string(n % 2)},
+                      {"zone", "z" + std::to_string(n % kZones)},
                       {"proxy",
                        {{"listen", ToString(At(host.callers))},
                         {"threads", 1},
@@ -180,7 +180,7 @@
 
 void SoakFleet::PutEndpoint(int n, const std::string& state) {
   const Endpoint& it = endpoints_[n];
-  Json entry = EndpointEntry(it.server->service(), n % 2, state);
+  Json entry = EndpointEntry(it.server->service(), ZoneOf(n), state);
   entry["address"] = Local(it.link);
   entry["born"] = it.life;
   store_.PutJson("servers/" + it.server->id(), entry.dump());
@@ -190,7 +190,7 @@
   for (int n = 0; n < kFragileEndpoints; ++n) {
     fragile_.push_back(std::make_unique<CrashingEndpoint>(
         "X-Damasktack-Request-Id", kFragileDownFor));
-    Json entry = EndpointEntry(kFragileService, n % 2, "ready");
+    Json entry = EndpointEntry(kFragileService, ZoneOf(n), "ready");
     entry["address"] = Local(fragile_.back()->port());
     store_.PutJson("servers/f" + std::to_string(n), entry.dump());
   }
@@ -204,6 +204,14 @@
   return crashes;
 }
 
+void SoakFleet::DrainZone(int zone) {
+  store_.PutJson("op/evacuate/z" + std::to_string(zone), "{}");
+}
+
+void SoakFleet::ReleaseZone(int zone) {
+  store_.Remove("op/evacuate/z" + std::to_string(zone));
+}
+
 void SoakFleet::Drain(int endpoint) {
   PutEndpoint(endpoint, "draining");
 }
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -65,6 +65,12 @@
   void Renew(int endpoint);
   SoakEndpoint& endpoint(int n) { return *endpoints_[n].server; }
 
+  static constexpr int kZones = 2;
+  static int ZoneOf(int endpoint) { return endpoint % kZones; }
+  // The operator's order that a zone is to get no calls, and its end.
+  void DrainZone(int zone);
+  void ReleaseZone(int zone);
+
   // Endpoints of a service of their own that have ended under requests which
   // crash what runs them.
   int crashes() const;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -136,6 +136,12 @@
   }
 }
 
+void SoakRun::BeginZoneDrain() {
+  const int zone = Draw(SoakFleet::kZones);
+  fleet_.DrainZone(zone);
+  HealAfter([this, zone] { fleet_.ReleaseZone(zone); });
+}
+
 void SoakRun::BeginChange() {
   for (int n = Draw(3); n >= 0; --n) {
     fleet_.PublishNextVersion();
@@ -144,7 +150,7 @@
 
 void SoakRun::Begin() {
   ++faults_;
-  switch (Draw(8)) {
+  switch (Draw(9)) {
     case 0:
     case 1:
     case 2:
@@ -160,6 +166,9 @@
     case 6:
       BeginEndpointFault();
       break;
+    case 7:
+      BeginZoneDrain();
+      break;
     default:
       BeginChange();
   }
@@ -210,6 +219,24 @@
   fleet_.endpoint(leaving).ForbidArrivals(false);
 }
 
+void SoakRun::ForbidArrivals(int zone, bool forbidden) {
+  for (int n = 0; n < fleet_.endpoints(); ++n) {
+    if (SoakFleet::ZoneOf(n) == zone) {
+      fleet_.endpoint(n).ForbidArrivals(forbidden);
+    }
+  }
+}
+
+void SoakRun::CheckDrainedZone() {
+  const int zone = Draw(SoakFleet::kZones);
+  fleet_.DrainZone(zone);
+  Pass(kInForce);
+  ForbidArrivals(zone, true);
+  Pass(seconds(1));
+  ForbidArrivals(zone, false);
+  fleet_.ReleaseZone(zone);
+}
+
 void SoakRun::CheckCrashing(int before) {
   if (fleet_.crashes() == 0) {
     ledger_.Violation("no endpoint was crashed: the check shows nothing");
@@ -247,6 +274,7 @@
     const int crashes = fleet_.crashes();
     CheckVersionInForce();
     CheckLeaving();
+    CheckDrainedZone();
     CheckCrashing(crashes);
     const SoakCallers::Count calm = callers.TakeCount();
     if (calm.served < kLeastServed * calm.asked) {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -48,6 +48,7 @@
   void BeginHostFault();
   void BeginStoreFault();
   void BeginEndpointFault();
+  void BeginZoneDrain();
   void BeginChange();
   void HealAfter(std::function<void()> action);
   void HealDue(TimePoint now);
@@ -57,6 +58,8 @@
   void CheckCalm();
   void CheckVersionInForce();
   void CheckLeaving();
+  void CheckDrainedZone();
+  void ForbidArrivals(int zone, bool forbidden);
   // `before` endpoints had ended when the calm began.
   void CheckCrashing(int before);
   int Draw(int below);
