--- a/contract/protocol_names.h
+++ b/contract/protocol_names.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace damasktack {
 
@@ -47,6 +48,10 @@
   std::string answering_endpoint;
   // How many milliseconds the endpoint that answers a probe stays cold.
   std::string cold_for;
+  // An endpoint's proof that an answer is its own; passed on.
+  std::string signature;
+  // What an endpoint says of itself is in headers that begin so.
+  std::vector<std::string> endpoint_prefixes{"Endpoint-"};
   // Requests' headers that begin so are damasktack's own and not passed on.
   std::string own_prefix = "Damasktack-";
 
--- a/main/damasktack_main.cc
+++ b/main/damasktack_main.cc
@@ -131,6 +131,9 @@
         const std::string& path,
         const sigset_t& signals) {
   LogWithoutBlocking();
+  if (settings.log_debug) {
+    spdlog::set_level(spdlog::level::debug);
+  }
   const int code = Serve<Host>(std::move(settings), path, signals);
   EndLogging(code);
   return code;
--- a/main/settings.h
+++ b/main/settings.h
@@ -68,6 +68,8 @@
 struct Settings {
   HostId host;
   ZoneId zone;
+  // Whether log lines of level debug are written too.
+  bool log_debug = false;
   // The region of each zone.
   std::map<ZoneId, RegionId> regions;
   ProxyOptions proxy;
--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -214,6 +214,9 @@
   visitor.Names("regions", settings.regions,
                 "region of each availability zone; routes that are allowed in "
                 "some regions only have their calls sent there");
+  visitor.Flag("log_debug", settings.log_debug,
+               "write log lines of level debug too, such as the names of an "
+               "endpoint's headers that this version does not know");
   visitor.Section("proxy", settings.proxy, SettingNeed::kRequired,
                   VisitProxy<Visitor>);
   visitor.Section("admin", settings.admin, SettingNeed::kRequired,
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -5,6 +5,7 @@
 
 #include "core/tcp_liveness.h"
 #include "proxy/endpoint_report_codec.h"
+#include "proxy/unknown_headers.h"
 
 namespace damasktack {
 
@@ -269,6 +270,7 @@
   if (!answer) {
     co_return SendResult::kBroken;
   }
+  LogUnknownHeaders(*answer, names_);
   const SendResult result = Judge(*answer);
   if (result != SendResult::kMisdirected) {
     out.report = ReadReport(*answer);
