Hosts keep to the rate limits that endpoints state

Cause: an answer was taken apart into load, refusal and name, and all else dropped; a limit for the whole fleet had no place in what a host believes of an endpoint. Class: what an endpoint says of itself in answers is not read.

Change: answers yield EndpointSignals; EndpointRestraints keeps them by endpoint, and both balancers ask it before a call goes there. A host's part is half of the limit by the size of the fleet, drawn in windows (SharedRate, taken out of ColdAllowance), since no host sees what the others send. FleetSize holds what both need of the fleet: as many hosts as endpoints while nobody has counted, and the larger size for 30 s after it seems to shrink (a cut-off host took itself for the whole fleet; cold endpoints had the same fault). An answer without the limit takes it back only where its request went out after the limit was stated. Where no endpoint takes a call for longer than calls wait, it is refused at once, with Retry-After.

Ruled out: each host to the whole limit (17 times as much); a saved-up part for each host (hosts that wake together send together); the list of hosts in turn (hosts of a store know their number only).

--- a/admin/admin_json.cc
+++ b/admin/admin_json.cc
@@ -52,6 +52,9 @@
             {"estimated_in_flight", endpoint.estimated_in_flight},
             {"slots", endpoint.slots},
             {"report_age_us", nullptr}};
+  if (endpoint.rate_limit) {
+    json["rate_limit"] = *endpoint.rate_limit;
+  }
   if (endpoint.report_age >= Duration::zero()) {
     json["report_age_us"] = Microseconds(endpoint.report_age);
   }
--- a/contract/protocol_names.h
+++ b/contract/protocol_names.h
@@ -22,6 +22,10 @@
 // On a call that was refused and did not run:
 //   Endpoint-Shed: 1
 inline constexpr std::string_view kShedHeader = "Endpoint-Shed";
+// On every answer of an endpoint that takes only so many requests a second from
+// all hosts together, for as long as it does:
+//   Endpoint-Limit: 1.5
+inline constexpr std::string_view kRateLimitHeader = "Endpoint-Limit";
 
 // The headers between callers, damasktack and endpoints, and the ways in which
 // deployments differ there. The defaults are damasktack's own protocol. An
@@ -41,6 +45,9 @@
   std::string load{kLoadHeader};
   // An endpoint's word that it did not run the call.
   std::string shed{kShedHeader};
+  // Requests a second that an endpoint takes from all hosts together, on its
+  // answers; the first of these that an answer has counts.
+  std::vector<std::string> rate_limit{std::string(kRateLimitHeader)};
   // The id of the endpoint that a request is meant for; another one that has
   // taken over its address refuses with 421 and does not run it.
   std::string expected_endpoint;
--- a/main/settings.cc
+++ b/main/settings.cc
@@ -94,6 +94,7 @@
   if (settings.fleet.enabled) {
     BOOST_LEAF_CHECK(CompleteFleetSettings(settings.fleet));
   }
+  settings.proxy.balancer.table.host = settings.host;
   settings.proxy.balancer.table.zone = settings.zone;
   settings.proxy.measured.host = settings.host;
   settings.proxy.measured.zone = settings.zone;
--- a/policy/balancer.h
+++ b/policy/balancer.h
@@ -12,6 +12,7 @@
 #include "policy/call.h"
 #include "policy/call_offer.h"
 #include "policy/endpoint_report.h"
+#include "policy/endpoint_signals.h"
 #include "policy/endpoint_status.h"
 
 namespace damasktack {
@@ -24,6 +25,8 @@
   // From the start of the send to its end.
   Duration took{};
   std::optional<EndpointReport> report;
+  // Null without an answer of the endpoint.
+  std::optional<EndpointSignals> signals = std::nullopt;
   // The answer went through a damasktack closer to the failure, which has
   // had its chance to send the call again.
   bool retried_deeper = false;
@@ -80,6 +83,15 @@
                       const EndpointReport& report,
                       TimePoint now,
                       Decisions& out) = 0;
+  // What an endpoint's answer to a call, sent at `asked_at`, or to a probe says
+  // of the requests that it wants; before Finish or Report of that answer.
+  virtual void OnSignals(EndpointIndex endpoint,
+                         const EndpointSignals& signals,
+                         TimePoint asked_at,
+                         TimePoint now) = 0;
+  virtual void OnProbeSignals(EndpointIndex endpoint,
+                              const EndpointSignals& signals,
+                              TimePoint now) = 0;
   // Another host has seen the endpoint drain.
   virtual void HearDrain(const EndpointId& id, TimePoint now) = 0;
   // Time passes: refuses what missed its deadline, sends what may go now.
--- a/policy/cold_allowance.h
+++ b/policy/cold_allowance.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "core/time.h"
+#include "policy/shared_rate.h"
 
 namespace damasktack {
 
@@ -11,19 +12,11 @@
 //
 // The load that it answers: the endpoints of a zone come back together with
 // empty caches. Each of them tolerates a few calls a second from all hosts
-// together, and crashes well above that; each looks free to every host, and no
-// host sees what the others send.
-//
-// Each host has its part of that rate by the size of the fleet. A part of less
-// than one call becomes one call in some windows, drawn by a hash, so that
-// hosts that wake together do not send together and nothing is saved up for
-// later.
+// together, and crashes well above that; each looks free to every host.
 class ColdAllowance {
  public:
-  static constexpr Duration kWindow = std::chrono::seconds(1);
-
   // `seed` differs by host and by endpoint.
-  explicit ColdAllowance(std::uint64_t seed = 0) : seed_(seed) {}
+  explicit ColdAllowance(std::uint64_t seed = 0) : rate_(seed) {}
 
   // The newest word of how long the endpoint stays cold.
   void OnCold(TimePoint until) { cold_until_ = until; }
@@ -32,16 +25,14 @@
 
   // Whether a call may go there; `share` is this host's part of the rate, in
   // calls a second.
-  bool Allows(double share, TimePoint now) const;
-  void OnSend(TimePoint now) { last_send_ = now; }
+  bool Allows(double share, TimePoint now) const {
+    return !IsCold(now) || rate_.Allows(share, now);
+  }
+  void OnSend(TimePoint now) { rate_.OnSend(now); }
 
  private:
-  // Whether this piece of time is one of the `part` of all that have a call.
-  bool IsDrawn(double part, Duration piece, TimePoint now) const;
-
-  std::uint64_t seed_ = 0;
   TimePoint cold_until_;
-  TimePoint last_send_;
+  SharedRate rate_;
 };
 
 }  // namespace damasktack
--- a/policy/cold_endpoints.cc
+++ b/policy/cold_endpoints.cc
@@ -9,10 +9,6 @@
 
 namespace {
 
-// In which a host that starts learns how many hosts there are. After a loss of
-// power that all of them had, each counts the few that are back before it, and
-// would take itself for a large part of the fleet.
-constexpr Duration kUntilCounted = std::chrono::seconds(5);
 // The part of the rate that hosts share out. Where all of them begin to have
 // calls at one moment, those of the windows that have begun and of the next
 // ones come within a second.
@@ -27,11 +23,7 @@
                                TimePoint now) {
   cold_time_ = service.cold_time;
   rate_ = service.cold_rate;
-  hosts_ = static_cast<double>(std::max<std::int64_t>(hosts, 1));
-  endpoints_ = static_cast<double>(service.endpoints.size());
-  if (!first_list_at_ && !service.endpoints.empty()) {
-    first_list_at_ = now;
-  }
+  fleet_.Set(hosts, service.endpoints.size(), now);
 }
 
 // What the endpoints of a zone had in their caches is gone when the zone is
@@ -58,13 +50,8 @@
   return most <= rate_ * options_.overshoot + options_.slack;
 }
 
-// While nobody has counted the hosts, there are taken to be as many as the
-// service has endpoints.
 double ColdEndpoints::Share(TimePoint now) const {
-  const bool is_counted =
-      first_list_at_ && now - *first_list_at_ >= kUntilCounted;
-  const double hosts = is_counted ? hosts_ : std::max(hosts_, endpoints_);
-  return rate_ * kSharedOut / hosts;
+  return rate_ * kSharedOut / fleet_.Count(now);
 }
 
 bool ColdEndpoints::MayTakeOne(const ColdLook& look,
--- a/policy/cold_endpoints.h
+++ b/policy/cold_endpoints.h
@@ -1,12 +1,12 @@
 #ifndef POLICY_COLD_ENDPOINTS_H_
 #define POLICY_COLD_ENDPOINTS_H_
 
-#include <optional>
 #include <vector>
 
 #include "contract/service.h"
 #include "policy/call.h"
 #include "policy/cold_allowance.h"
+#include "policy/fleet_size.h"
 
 namespace damasktack {
 
@@ -81,9 +81,7 @@
   std::vector<ColdAllowance> allowances_;
   Duration cold_time_{};
   double rate_ = 0;
-  double hosts_ = 1;
-  double endpoints_ = 1;
-  std::optional<TimePoint> first_list_at_;
+  FleetSize fleet_;
 };
 
 }  // namespace damasktack
--- a/policy/endpoint_status.h
+++ b/policy/endpoint_status.h
@@ -2,6 +2,7 @@
 #define POLICY_ENDPOINT_STATUS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
   std::int32_t slots = 1;
   // Age of the last report; negative where there was none.
   Duration report_age{-1};
+  // Requests a second from all hosts that it has stated as its limit.
+  std::optional<double> rate_limit = std::nullopt;
 };
 
 // An endpoint was taken out for failing, or let back.
--- a/policy/endpoint_table.cc
+++ b/policy/endpoint_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include "policy/probe_need.h"
@@ -23,6 +24,7 @@
 
 EndpointTable::EndpointTable(EndpointTableOptions options)
     : options_(std::move(options)),
+      restraints_(options_.host),
       picker_(MakePicker(options_.picker).value_or(ChosenPicker())) {}
 
 void EndpointTable::SetService(const ServiceSpec& service,
@@ -30,6 +32,7 @@
                                TimePoint now) {
   hosts_ = std::max<std::int64_t>(hosts, 1);
   budget_.SetRate(service.probes_per_second, hosts_, now);
+  restraints_.SetService(service.endpoints.size(), hosts, now);
   for (EndpointIndex n = 0; n < specs_.size(); ++n) {
     const bool is_listed = std::ranges::any_of(
         service.endpoints,
@@ -62,6 +65,7 @@
   if (!index) {
     index = roster_.Add(taken_as_warm, now);
     specs_.resize(std::max<std::size_t>(specs_.size(), *index + 1));
+    restraints_.OnAdded(*index, spec.id);
   }
   specs_[*index] = spec;
   EndpointRecord& record = roster_.record(*index);
@@ -116,20 +120,40 @@
                                                  TimePoint now,
                                                  Random& random) {
   roster_.Advance(now);
-  if (roster_.usable().empty()) {
+  std::vector<EndpointIndex> buf;
+  const auto open = Open(now, buf);
+  if (open.empty()) {
     return std::nullopt;
   }
   const CandidateView::Choice choice{
       request.most_load, request.avoid, IsBelowOwnPart(request.most_load),
       Prior(now),        ZoneCost(),    now};
-  const CandidateView view(roster_.usable(), roster_.records(), choice);
+  const CandidateView view(open, roster_.records(), choice);
   return std::visit(
       [&](EndpointPicker auto& picker) { return picker.Pick(view, random); },
       picker_);
 }
 
-bool EndpointTable::AnyUsable(TimePoint /*now*/) const {
-  return !roster_.usable().empty();
+std::span<const EndpointIndex> EndpointTable::Open(
+    TimePoint now,
+    std::vector<EndpointIndex>& buf) const {
+  const auto usable = roster_.usable();
+  const auto takes_one = [&](EndpointIndex it) { return TakesOne(it, now); };
+  if (std::ranges::all_of(usable, takes_one)) {
+    return usable;
+  }
+  std::ranges::copy_if(usable, std::back_inserter(buf), takes_one);
+  return buf;
+}
+
+bool EndpointTable::AnyUsable(TimePoint now) const {
+  return std::ranges::any_of(
+      roster_.usable(), [&](EndpointIndex it) { return TakesOne(it, now); });
+}
+
+std::optional<TimePoint> EndpointTable::OpensAt(TimePoint now,
+                                                TimePoint latest) const {
+  return restraints_.FirstOpening(roster_.usable(), now, latest);
 }
 
 double EndpointTable::FreeSlots(TimePoint now) const {
@@ -149,6 +173,7 @@
 
 void EndpointTable::OnSend(EndpointIndex endpoint, TimePoint now) {
   roster_.record(endpoint).estimate.OnSend();
+  restraints_.OnSend(endpoint, now);
   ++own_in_flight_;
   last_send_ = now;
 }
@@ -257,6 +282,7 @@
       record.estimate.Calls(Prior(now), record.slots, now);
   status.slots = static_cast<std::int32_t>(record.slots);
   status.report_age = record.estimate.ReportAge(now);
+  status.rate_limit = restraints_.rate_limit(index);
   return status;
 }
 
--- a/policy/endpoint_table.h
+++ b/policy/endpoint_table.h
@@ -2,6 +2,7 @@
 #define POLICY_ENDPOINT_TABLE_H_
 
 #include <optional>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "core/time.h"
 #include "policy/call.h"
 #include "policy/endpoint_report.h"
+#include "policy/endpoint_restraints.h"
 #include "policy/endpoint_roster.h"
 #include "policy/endpoint_status.h"
 #include "policy/picker_registry.h"
@@ -25,6 +27,8 @@
   Duration zone_distance = std::chrono::milliseconds(1);
   // One of PickerNames(); an unknown name means the chosen picker.
   std::string_view picker = ChosenPicker::kName;
+  // This host.
+  HostId host = {};
 };
 
 // What a call needs of its endpoint.
@@ -57,6 +61,9 @@
                                     Random& random);
   // Whether there is any endpoint that may ever be picked as things stand.
   bool AnyUsable(TimePoint now) const;
+  // When the first endpoint takes a call by what the endpoints have asked for;
+  // `latest` where none does before, null without a usable endpoint.
+  std::optional<TimePoint> OpensAt(TimePoint now, TimePoint latest) const;
   // Estimated slots that are free over all usable endpoints, and their sum.
   double FreeSlots(TimePoint now) const;
   double UsableSlots(TimePoint now) const;
@@ -73,6 +80,19 @@
                 const EndpointReport& report,
                 TimePoint now);
 
+  // The endpoint's answer to a call, sent at `asked_at`, or to a probe.
+  void OnSignals(EndpointIndex endpoint,
+                 const EndpointSignals& signals,
+                 TimePoint asked_at,
+                 TimePoint now) {
+    restraints_.OnAnswer(endpoint, signals, asked_at, now);
+  }
+  void OnProbeSignals(EndpointIndex endpoint,
+                      const EndpointSignals& signals,
+                      TimePoint now) {
+    restraints_.OnProbeAnswer(endpoint, signals, now);
+  }
+
   // Another host has seen the endpoint drain.
   void OnHeardDrain(const EndpointId& id, TimePoint now);
 
@@ -98,11 +118,19 @@
   double OthersPerSlot() const;
   LoadPrior Prior(TimePoint now) const;
   bool IsBelowOwnPart(double most_load) const;
+  bool TakesOne(EndpointIndex index, TimePoint now) const {
+    return restraints_.MayTakeOne(index, now);
+  }
+  // Those of the usable endpoints that take a call now; `buf` holds them where
+  // not all do.
+  std::span<const EndpointIndex> Open(TimePoint now,
+                                      std::vector<EndpointIndex>& buf) const;
   EndpointStatus StatusOf(EndpointIndex index, TimePoint now) const;
 
   EndpointTableOptions options_;
   std::vector<EndpointSpec> specs_;
   EndpointRoster roster_;
+  EndpointRestraints restraints_;
   ServiceNorm norm_;
   PickerVariant picker_;
   ProbeBudget budget_;
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -75,7 +75,8 @@
     const TimePoint since =
         std::min(no_place_since_.value_or(now), call.offer.arrival);
     const bool is_given_up =
-        !looks && now - since >= options_.no_endpoint_patience;
+        !looks &&
+        (IsShut(call, now) || now - since >= options_.no_endpoint_patience);
     return {is_given_up ? Step::kRefuse : Step::kWait, best};
   }
   if (best->is_good) {
@@ -94,6 +95,12 @@
   return {is_last_chance ? Step::kSend : Step::kRefuse, best};
 }
 
+bool MeasuredBalancer::IsShut(const WaitingCall& call, TimePoint now) const {
+  const TimePoint patience_ends = now + options_.no_endpoint_patience;
+  const auto opens_at = endpoints_.OpensAt(call, now, patience_ends);
+  return opens_at && *opens_at >= patience_ends;
+}
+
 void MeasuredBalancer::Offer(const CallOffer& offer,
                              TimePoint now,
                              Decisions& out) {
@@ -129,11 +136,11 @@
       return true;
     }
     if (step == Step::kRefuse) {
-      const CallOffer offer = head.offer;
-      queue_.Remove(offer.token);
+      const WaitingCall call = head;
+      queue_.Remove(call.offer.token);
       out.rejections.push_back(
-          {offer.token, best ? Refusal::kShed : Refusal::kNoEndpoint,
-           RetryAfter(offer, best, now), BasisOf(best, now)});
+          {call.offer.token, best ? Refusal::kShed : Refusal::kNoEndpoint,
+           RetryAfter(call, best, now), BasisOf(best, now)});
       return true;
     }
   }
@@ -141,12 +148,15 @@
 }
 
 Duration MeasuredBalancer::RetryAfter(
-    const CallOffer& offer,
+    const WaitingCall& call,
     const std::optional<MeasuredCandidate>& best,
-    TimePoint now) {
+    TimePoint now) const {
   Duration wait = kShortestRetryAfter;
   if (best) {
-    wait = std::max(wait, now + best->finish - offer.on_time_until);
+    wait = std::max(wait, now + best->finish - call.offer.on_time_until);
+  } else if (const auto opens_at =
+                 endpoints_.OpensAt(call, now, now + kLongestRetryAfter)) {
+    wait = std::max(wait, *opens_at - now);
   }
   return std::min(wait, kLongestRetryAfter);
 }
@@ -194,8 +204,8 @@
                                           TimePoint now) {
   const WaitingCall call{offer, end.endpoint};
   return RetryAfter(
-      offer,
-      endpoints_.Best(call, MeasuredEndpoints::Among::kAll, now, random_), now);
+      call, endpoints_.Best(call, MeasuredEndpoints::Among::kAll, now, random_),
+      now);
 }
 
 // A caller that comes for the first time has another try of its own, which
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -50,6 +50,17 @@
               const EndpointReport& report,
               TimePoint now,
               Decisions& out) override;
+  void OnSignals(EndpointIndex endpoint,
+                 const EndpointSignals& signals,
+                 TimePoint asked_at,
+                 TimePoint now) override {
+    endpoints_.OnSignals(endpoint, signals, asked_at, now);
+  }
+  void OnProbeSignals(EndpointIndex endpoint,
+                      const EndpointSignals& signals,
+                      TimePoint now) override {
+    endpoints_.OnProbeSignals(endpoint, signals, now);
+  }
   void HearDrain(const EndpointId& id, TimePoint now) override;
   void Tick(TimePoint now, Decisions& out) override;
   std::optional<EndpointIndex> NextProbe(TimePoint now) override;
@@ -94,9 +105,11 @@
             Decisions& out);
   DecisionBasis BasisOf(const std::optional<MeasuredCandidate>& best,
                         TimePoint now) const;
-  Duration RetryAfter(const CallOffer& offer,
+  // Whether no endpoint takes a call for longer than one waits for a place.
+  bool IsShut(const WaitingCall& call, TimePoint now) const;
+  Duration RetryAfter(const WaitingCall& call,
                       const std::optional<MeasuredCandidate>& best,
-                      TimePoint now);
+                      TimePoint now) const;
   bool IsLeftToCaller(const CallOffer& offer) const;
   bool MayRetry(const CallOffer& offer, const SendEnd& end, TimePoint now);
   void NotePlace(const WaitingCall& call, bool is_there, TimePoint now);
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -1,6 +1,7 @@
 #include "policy/measured_endpoints.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 #include <string_view>
 
@@ -45,12 +46,14 @@
 MeasuredEndpoints::MeasuredEndpoints(const MeasuredBalancerOptions& options)
     : options_(options),
       cold_(options.host, options.cold),
+      restraints_(options.host),
       preference_(options.preference) {}
 
 void MeasuredEndpoints::SetService(const ServiceSpec& service,
                                    std::int64_t hosts,
                                    TimePoint now) {
   cold_.SetService(service, hosts, now);
+  restraints_.SetService(service.endpoints.size(), hosts, now);
   const bool has_left = Unlist(service, now);
   if (!first_list_at_ && !service.endpoints.empty()) {
     first_list_at_ = now;
@@ -100,6 +103,7 @@
     specs_.resize(size);
     measures_.resize(size);
     measures_[known->second] = EndpointMeasure();
+    restraints_.OnAdded(known->second, spec.id);
   }
   const EndpointIndex index = known->second;
   cold_.OnListed(index, is_new ? nullptr : &specs_[index], spec, now);
@@ -127,7 +131,20 @@
                                    TimePoint now) const {
   const ColdLook look{candidate.index, candidate.is_fresh, candidate.calls,
                       candidate.slots};
-  return cold_.MayTakeOne(look, usual_time(), now);
+  return restraints_.MayTakeOne(candidate.index, now) &&
+         cold_.MayTakeOne(look, usual_time(), now);
+}
+
+std::optional<TimePoint> MeasuredEndpoints::OpensAt(const WaitingCall& call,
+                                                    TimePoint now,
+                                                    TimePoint latest) const {
+  if (call.offer.allowed_regions.empty()) {
+    return restraints_.FirstOpening(usable(), now, latest);
+  }
+  std::vector<EndpointIndex> allowed;
+  std::ranges::copy_if(usable(), std::back_inserter(allowed),
+                       [&](EndpointIndex it) { return IsAllowed(call, it); });
+  return restraints_.FirstOpening(allowed, now, latest);
 }
 
 void MeasuredEndpoints::DrawPreference() {
@@ -249,6 +266,7 @@
                                TimePoint now) {
   sent_[token] = {to.FillWithOne(), to.pace, to.is_fresh};
   cold_.OnSend(to.index, now);
+  restraints_.OnSend(to.index, now);
   roster_.record(to.index).estimate.OnSend();
   measures_[to.index].OnSend();
 }
@@ -331,6 +349,7 @@
     endpoint.estimated_in_flight = Weigh(n, now).calls;
     endpoint.slots = static_cast<std::int32_t>(record.slots);
     endpoint.report_age = measures_[n].ReportAge(now);
+    endpoint.rate_limit = restraints_.rate_limit(n);
     list.push_back(std::move(endpoint));
   }
   return list;
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -11,6 +11,7 @@
 #include "policy/cold_endpoints.h"
 #include "policy/endpoint_measure.h"
 #include "policy/endpoint_preference.h"
+#include "policy/endpoint_restraints.h"
 #include "policy/endpoint_roster.h"
 #include "policy/execution_profile.h"
 #include "policy/measured_options.h"
@@ -57,6 +58,18 @@
   void OnReport(EndpointIndex endpoint,
                 const EndpointReport& report,
                 TimePoint now);
+  // The endpoint's answer to a call, sent at `asked_at`, or to a probe.
+  void OnSignals(EndpointIndex endpoint,
+                 const EndpointSignals& signals,
+                 TimePoint asked_at,
+                 TimePoint now) {
+    restraints_.OnAnswer(endpoint, signals, asked_at, now);
+  }
+  void OnProbeSignals(EndpointIndex endpoint,
+                      const EndpointSignals& signals,
+                      TimePoint now) {
+    restraints_.OnProbeAnswer(endpoint, signals, now);
+  }
   void OnProbe(EndpointIndex endpoint, TimePoint now);
   void OnProbeFailed(EndpointIndex endpoint, SendResult result, TimePoint now);
   void HearDrain(const EndpointId& id, TimePoint now);
@@ -71,11 +84,17 @@
   // Whether some endpoint that takes calls is in a region of the call's; true
   // where it may go anywhere.
   bool ServesRegionsOf(const WaitingCall& call) const;
+  // When the first endpoint that may get the call takes one more by what the
+  // endpoints have asked for; `latest` where none does before, null where there
+  // is no endpoint.
+  std::optional<TimePoint> OpensAt(const WaitingCall& call,
+                                   TimePoint now,
+                                   TimePoint latest) const;
   // Whether a report of the endpoint could bring it the call.
   bool IsWorthALook(const WaitingCall& call,
                     EndpointIndex index,
                     TimePoint now) const {
-    return IsAllowed(call, index) &&
+    return IsAllowed(call, index) && restraints_.MayTakeOne(index, now) &&
            cold_.IsWorthALook(index, roster_.records()[index].slots,
                               usual_time(), now);
   }
@@ -125,6 +144,7 @@
   std::unordered_map<EndpointId, EndpointIndex> listed_;
   std::vector<EndpointMeasure> measures_;
   ColdEndpoints cold_;
+  EndpointRestraints restraints_;
   EndpointPreference preference_;
   EndpointRoster roster_;
   MeasurePrior prior_;
--- a/policy/service_balancer.cc
+++ b/policy/service_balancer.cc
@@ -290,9 +290,14 @@
   }
 }
 
+// Also where it is known that no endpoint takes a call for longer than calls
+// wait for one.
 bool ServiceBalancer::GivenUpOnEndpoints(TimePoint now) const {
-  return unusable_since_ &&
-         now - *unusable_since_ >= options_.no_endpoint_patience;
+  const TimePoint patience_ends = now + options_.no_endpoint_patience;
+  const auto opens_at = table_.OpensAt(now, patience_ends);
+  const bool is_shut = opens_at && *opens_at >= patience_ends;
+  return is_shut || (unusable_since_ &&
+                     now - *unusable_since_ >= options_.no_endpoint_patience);
 }
 
 std::optional<EndpointIndex> ServiceBalancer::NextProbe(TimePoint now) {
--- a/policy/service_balancer.h
+++ b/policy/service_balancer.h
@@ -56,6 +56,17 @@
               const EndpointReport& report,
               TimePoint now,
               Decisions& out) override;
+  void OnSignals(EndpointIndex endpoint,
+                 const EndpointSignals& signals,
+                 TimePoint asked_at,
+                 TimePoint now) override {
+    table_.OnSignals(endpoint, signals, asked_at, now);
+  }
+  void OnProbeSignals(EndpointIndex endpoint,
+                      const EndpointSignals& signals,
+                      TimePoint now) override {
+    table_.OnProbeSignals(endpoint, signals, now);
+  }
   void HearDrain(const EndpointId& id, TimePoint now) override;
   void Tick(TimePoint now, Decisions& out) override;
   std::optional<EndpointIndex> NextProbe(TimePoint now) override;
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -469,6 +469,7 @@
                       .result = sent.result,
                       .took = sent.took,
                       .report = sent.report,
+                      .signals = sent.signals,
                       .retried_deeper = WentThroughAnotherHop(sent, names()),
                       .is_suspected = is_suspected,
                       .sends = ++sends};
--- a/proxy/caller_server.cc
+++ b/proxy/caller_server.cc
@@ -184,6 +184,9 @@
       Clock::now() + state_.options().exchange.connect_timeout;
   const ExchangeResult result = co_await exchange->Run(request, deadline, "");
   dispatcher->CountProbe(result.bytes);
+  if (result.signals) {
+    dispatcher->OnProbeSignals(order.endpoint, *result.signals, Clock::now());
+  }
   if (result.report) {
     dispatcher->Report(order.endpoint, *result.report, Clock::now());
   } else {
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -5,6 +5,7 @@
 
 #include "core/tcp_liveness.h"
 #include "proxy/endpoint_report_codec.h"
+#include "proxy/endpoint_signals_codec.h"
 #include "proxy/unknown_headers.h"
 
 namespace damasktack {
@@ -274,6 +275,7 @@
   const SendResult result = Judge(*answer);
   if (result != SendResult::kMisdirected) {
     out.report = ReadReport(*answer);
+    out.signals = ReadEndpointSignals(*answer, names_);
   }
   out.answer = std::move(answer);
   co_return result;
--- a/proxy/endpoint_exchange.h
+++ b/proxy/endpoint_exchange.h
@@ -9,6 +9,7 @@
 #include "core/time.h"
 #include "policy/call.h"
 #include "policy/endpoint_report.h"
+#include "policy/endpoint_signals.h"
 #include "proxy/endpoint_pool.h"
 #include "proxy/http_types.h"
 
@@ -28,6 +29,7 @@
   // Present for kAnswered, kFailed and kShed.
   std::optional<HttpResponse> answer;
   std::optional<EndpointReport> report;
+  std::optional<EndpointSignals> signals;
   Duration took{};
   // Bytes sent and received.
   std::uint64_t bytes = 0;
--- /dev/null
+++ b/proxy/endpoint_signals_codec.cc
@@ -0,0 +1,66 @@
+#include "proxy/endpoint_signals_codec.h"
+
+#include <spdlog/spdlog.h>
+
+#include <atomic>
+#include <charconv>
+#include <cmath>
+#include <string>
+#include <vector>
+
+namespace damasktack {
+
+namespace {
+
+// Lines on headers that cannot be read that one process writes.
+constexpr int kMostLines = 16;
+
+// The first of the headers that the answer has; empty without any.
+std::string_view FirstOf(const HttpResponse& answer,
+                         const std::vector<std::string>& names) {
+  for (const std::string& it : names) {
+    const auto text = FromBeast(answer[it]);
+    if (!text.empty()) {
+      return text;
+    }
+  }
+  return {};
+}
+
+void LogRefused(std::string_view what, std::string_view text) {
+  static std::atomic<int> lines = 0;
+  if (lines < kMostLines && lines.fetch_add(1) < kMostLines) {
+    spdlog::warn(
+        "event=endpoint-header-refused what={} value=\"{}\" "
+        "remedy=\"send a decimal number that is not negative\"",
+        what, text);
+  }
+}
+
+}  // namespace
+
+std::optional<double> ParseRate(std::string_view text) {
+  double rate = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), rate);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() ||
+      !std::isfinite(rate) || rate < 0) {
+    return std::nullopt;
+  }
+  return rate;
+}
+
+EndpointSignals ReadEndpointSignals(const HttpResponse& answer,
+                                    const ProtocolNames& names) {
+  EndpointSignals signals;
+  const std::string_view limit = FirstOf(answer, names.rate_limit);
+  if (!limit.empty()) {
+    signals.rate_limit = ParseRate(limit);
+    if (!signals.rate_limit) {
+      LogRefused("rate-limit", limit);
+    }
+  }
+  return signals;
+}
+
+}  // namespace damasktack
--- /dev/null
+++ b/proxy/endpoint_signals_codec.h
@@ -0,0 +1,23 @@
+#ifndef PROXY_ENDPOINT_SIGNALS_CODEC_H_
+#define PROXY_ENDPOINT_SIGNALS_CODEC_H_
+
+#include <optional>
+#include <string_view>
+
+#include "contract/protocol_names.h"
+#include "policy/endpoint_signals.h"
+#include "proxy/http_types.h"
+
+namespace damasktack {
+
+// A decimal number of requests a second, "1.5"; null where the text is none.
+std::optional<double> ParseRate(std::string_view text);
+
+// What the answer says besides the load. A header that cannot be read counts as
+// absent, and is logged for the first answers that have one.
+EndpointSignals ReadEndpointSignals(const HttpResponse& answer,
+                                    const ProtocolNames& names);
+
+}  // namespace damasktack
+
+#endif  // PROXY_ENDPOINT_SIGNALS_CODEC_H_
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -62,6 +62,9 @@
     if (end.report) {
       NoteDrain(end.endpoint, *end.report);
     }
+    if (end.signals) {
+      balancer_->OnSignals(end.endpoint, *end.signals, now - end.took, now);
+    }
     after = balancer_->Finish(offer, end, now, decisions);
     if (after == AfterSend::kDone) {
       waiting_.erase(offer.token);
@@ -96,6 +99,13 @@
   Tell(placed, waiting);
 }
 
+void ServiceDispatcher::OnProbeSignals(EndpointIndex endpoint,
+                                       const EndpointSignals& signals,
+                                       TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  balancer_->OnProbeSignals(endpoint, signals, now);
+}
+
 void ServiceDispatcher::ProbeFailed(EndpointIndex endpoint,
                                     SendResult result,
                                     TimePoint now) {
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -76,6 +76,9 @@
   void Report(EndpointIndex endpoint,
               const EndpointReport& report,
               TimePoint now);
+  void OnProbeSignals(EndpointIndex endpoint,
+                      const EndpointSignals& signals,
+                      TimePoint now);
   void ProbeFailed(EndpointIndex endpoint, SendResult result, TimePoint now);
   // Another host has seen the endpoint drain.
   void HearDrain(const EndpointId& endpoint, TimePoint now);
--- a/proxy/unknown_headers.cc
+++ b/proxy/unknown_headers.cc
@@ -23,7 +23,8 @@
     return beast::iequals(name, ToBeast(it));
   };
   return is(names.load) || is(names.shed) || is(names.cold_for) ||
-         is(names.answering_endpoint) || is(names.signature);
+         is(names.answering_endpoint) || is(names.signature) ||
+         std::ranges::any_of(names.rate_limit, is);
 }
 
 bool IsNew(beast::string_view name) {
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -112,6 +112,36 @@
   CHECK(out.dispatches[0].endpoint == 5);
 }
 
+// A call that nobody takes for a while is not to wait for it in vain.
+TEST_CASE("where all endpoints state low limits a call is refused at once") {
+  constexpr int kEndpoints = 8;
+  constexpr int kFleet = 400;
+  Harness harness(kEndpoints);
+  harness.balancer.SetService(MakeService(kEndpoints), kFleet, harness.now);
+  for (EndpointIndex n = 0; n < kEndpoints; ++n) {
+    harness.balancer.OnSignals(n, {.rate_limit = 1}, harness.now, harness.now);
+  }
+  const Decisions out = harness.Offer(MakeCall(1, harness.now));
+  REQUIRE(out.rejections.size() == 1);
+  CHECK(out.rejections[0].refusal == Refusal::kNoEndpoint);
+  CHECK(out.rejections[0].retry_after >= milliseconds(150));
+  CHECK(harness.probes == 0);
+}
+
+TEST_CASE("calls go to endpoints without a limit") {
+  constexpr int kEndpoints = 8;
+  Harness harness(kEndpoints);
+  harness.balancer.SetService(MakeService(kEndpoints), 400, harness.now);
+  for (EndpointIndex n = 1; n < kEndpoints; ++n) {
+    harness.balancer.OnSignals(n, {.rate_limit = 1}, harness.now, harness.now);
+  }
+  for (CallToken token = 1; token < 4; ++token) {
+    const Decisions out = harness.Offer(MakeCall(token, harness.now));
+    REQUIRE(out.dispatches.size() == 1);
+    CHECK(out.dispatches[0].endpoint == 0);
+  }
+}
+
 // The operator has drained a zone for a repair, and calls still go there, or
 // looks at its endpoints do. What is in hand there ends in peace; with nothing
 // left the caller hears that its call was not run; and the zone serves again
--- a/tests/policy/test_service_balancer.cc
+++ b/tests/policy/test_service_balancer.cc
@@ -182,6 +182,31 @@
   std::map<CallToken, int> sends_;
 };
 
+// A call that nobody takes for a while is not to wait for it in vain.
+TEST_CASE("where all endpoints state low limits a call is refused at once") {
+  constexpr EndpointIndex kEndpoints = 4;
+  ServiceBalancer balancer(BalancerOptions(), 3);
+  balancer.SetService(Service(kEndpoints, 2), 400, kStart);
+  for (EndpointIndex n = 0; n < kEndpoints; ++n) {
+    balancer.OnSignals(n, {.rate_limit = 1}, kStart, kStart);
+  }
+  Decisions out;
+  balancer.Offer(OfferOf(1, Urgency::kNormal, kStart), kStart, out);
+  CHECK(out.dispatches.empty());
+  REQUIRE(out.rejections.size() == 1);
+  CHECK(out.rejections[0].refusal == Refusal::kNoEndpoint);
+}
+
+TEST_CASE("of several endpoints the one without a limit gets the calls") {
+  ServiceBalancer balancer(BalancerOptions(), 3);
+  balancer.SetService(Service(2, 8), 400, kStart);
+  balancer.OnSignals(1, {.rate_limit = 1}, kStart, kStart);
+  Decisions out;
+  balancer.Offer(OfferOf(1, Urgency::kUrgent, kStart), kStart, out);
+  REQUIRE(out.dispatches.size() == 1);
+  CHECK(out.dispatches[0].endpoint == 0);
+}
+
 TEST_CASE("no call is lost or answered twice, and all end by their deadline") {
   const bool held = rc::check([] {
     RandomDrive drive;
