Hosts tell each other which rate limits endpoints state

An endpoint that takes one request a second would have to tell each of 472 hosts by itself: two to three minutes at 2.4 requests a second, for which time it gets no relief, and as long again once it takes the limit back.

Change: EndpointRates keeps the newest statement on each process, EndpointRateExchange tells it: one hop where all hosts are linked, passed on by seeds where they are not; a host that starts hears what is in force.

--- a/fleet/fleet_core.cc
+++ b/fleet/fleet_core.cc
@@ -17,6 +17,9 @@
     : options_(std::move(options)),
       membership_(options_.membership),
       documents_(options_.documents, std::move(check), random_seed) {
+  if (options_.gates.rates != nullptr) {
+    rates_.emplace(*options_.gates.rates, FleetShape::kMesh);
+  }
   if (options_.gates.quarantine != nullptr) {
     crashes_.emplace(*options_.gates.quarantine);
   }
--- a/fleet/fleet_core.h
+++ b/fleet/fleet_core.h
@@ -9,6 +9,7 @@
 #include "fleet/crash_exchange.h"
 #include "fleet/document_store.h"
 #include "fleet/drain_sightings.h"
+#include "fleet/endpoint_rate_exchange.h"
 #include "fleet/fleet_claim_gate.h"
 #include "fleet/fleet_limit_gate.h"
 #include "fleet/membership.h"
@@ -20,6 +21,7 @@
   FleetLimitGate* limits = nullptr;
   FleetClaimGate* claims = nullptr;
   RequestQuarantine* quarantine = nullptr;
+  EndpointRates* rates = nullptr;
 };
 
 struct FleetCoreOptions {
@@ -107,6 +109,9 @@
     if (crashes_) {
       body(*crashes_);
     }
+    if (rates_) {
+      body(*rates_);
+    }
   }
 
   void BeginCheck(TimePoint now);
@@ -122,6 +127,8 @@
   DrainSightings drains_;
   // Null without a quarantine.
   std::optional<CrashExchange> crashes_;
+  // Null where nobody asks for them.
+  std::optional<EndpointRateExchange> rates_;
   Outbox out_;
   FleetCounters counters_;
 
--- a/fleet/peer_message.h
+++ b/fleet/peer_message.h
@@ -7,6 +7,7 @@
 #include "fleet/crash_messages.h"
 #include "fleet/document_messages.h"
 #include "fleet/drain_messages.h"
+#include "fleet/endpoint_rate_messages.h"
 #include "fleet/limit_messages.h"
 #include "fleet/membership_messages.h"
 #include "fleet/published_messages.h"
@@ -39,7 +40,8 @@
                                  FeedHello,
                                  FeedUpdate,
                                  FeedOutage,
-                                 CrashReport>;
+                                 CrashReport,
+                                 EndpointRateReport>;
 
 }  // namespace damasktack
 
--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -51,10 +51,18 @@
   crashes_.emplace(quarantine);
 }
 
+void PublishedLoop::ShareRates(EndpointRates& rates) {
+  rates_ = &rates;
+  rate_exchange_.emplace(rates, FleetShape::kStar);
+}
+
 void PublishedLoop::Start(PeerTransport* transport) {
   transport_ = transport;
   if (quarantine_ != nullptr) {
-    quarantine_->SetOnNews([this] { SendCrashNews(); });
+    quarantine_->SetOnNews([this] { SendNews(crashes_); });
+  }
+  if (rates_ != nullptr) {
+    rates_->SetOnNews([this] { SendNews(rate_exchange_); });
   }
   running_ = true;
   thread_ = std::thread([this] { Run(); });
@@ -64,6 +72,9 @@
   if (quarantine_ != nullptr) {
     quarantine_->SetOnNews({});
   }
+  if (rates_ != nullptr) {
+    rates_->SetOnNews({});
+  }
   {
     const std::lock_guard lock(mutex_);
     stopping_ = true;
@@ -235,13 +246,24 @@
   }
 }
 
-// On the thread of the call that brought the news: the loop's own may be
-// waiting for the store.
-void PublishedLoop::SendCrashNews() {
+void PublishedLoop::ExchangeRates(const HostId& host,
+                                  const PeerMessage& message) {
+  if (!rate_exchange_) {
+    return;
+  }
+  if (std::holds_alternative<FeedHello>(message)) {
+    rate_exchange_->OnPeer(host, Clock::now(), out_);
+  } else if (const auto* report = std::get_if<EndpointRateReport>(&message)) {
+    rate_exchange_->OnReport(host, *report, Clock::now(), out_);
+  }
+}
+
+template <typename Exchange>
+void PublishedLoop::SendNews(std::optional<Exchange>& exchange) {
   Outbox out;
   {
     const std::lock_guard lock(mutex_);
-    crashes_->Share(Clock::now(), out);
+    exchange->Share(Clock::now(), out);
   }
   SendFrames(out.TakeParcels());
 }
@@ -262,6 +284,9 @@
   if (crashes_) {
     crashes_->OnPeerGone(HostId(host));
   }
+  if (rate_exchange_) {
+    rate_exchange_->OnPeerGone(HostId(host));
+  }
 }
 
 void PublishedLoop::OnFrame(const std::string& host,
@@ -276,6 +301,7 @@
         std::unique_lock lock(mutex_);
         feed_.OnMessage(HostId(host), *message, Clock::now(), out_);
         ExchangeCrashes(HostId(host), *message);
+        ExchangeRates(HostId(host), *message);
         Settle(lock);
         return {};
       },
--- a/fleet/published_loop.h
+++ b/fleet/published_loop.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "fleet/crash_exchange.h"
+#include "fleet/endpoint_rate_exchange.h"
 #include "fleet/published_feed.h"
 #include "fleet/published_source.h"
 #include "wire/peer_transport.h"
@@ -48,6 +49,8 @@
   // Exchanges evidence on crashes over the same links. Before Start; must
   // outlive Stop.
   void ShareCrashes(RequestQuarantine& quarantine);
+  // The same with the rate limits that endpoints state.
+  void ShareRates(EndpointRates& rates);
   // `transport` may be null: then this host reads the store alone. It must
   // outlive Stop.
   void Start(PeerTransport* transport);
@@ -79,11 +82,16 @@
   void SendFrames(const std::vector<Outbox::Parcel>& parcels);
   // The caller holds the lock.
   void ExchangeCrashes(const HostId& host, const PeerMessage& message);
-  void SendCrashNews();
+  void ExchangeRates(const HostId& host, const PeerMessage& message);
+  // Sends what an exchange has to tell. On the thread of the call that brought
+  // the news: the loop's own may be waiting for the store.
+  template <typename Exchange>
+  void SendNews(std::optional<Exchange>& exchange);
 
   PublishedSource& source_;
   PublishedLoopEvents& events_;
   RequestQuarantine* quarantine_ = nullptr;
+  EndpointRates* rates_ = nullptr;
   PeerTransport* transport_ = nullptr;
   std::thread thread_;
   std::atomic<bool> running_ = false;
@@ -96,6 +104,7 @@
   PublishedFeed feed_;
   // Null where no evidence is exchanged.
   std::optional<CrashExchange> crashes_;
+  std::optional<EndpointRateExchange> rate_exchange_;
   Outbox out_;
   std::vector<SocketAddress> seeds_;
   // Hosts of the fleet as the owner was told last.
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -51,7 +51,8 @@
       admin_(settings_.admin, *this),
       fleet_(MakeFleetOptions(settings_,
                               incarnation_,
-                              {&limits_, &claims_, &state_.quarantine()}),
+                              {&limits_, &claims_, &state_.quarantine(),
+                               &state_.endpoint_rates()}),
              *this) {
   if (!settings_.fleet.enabled) {
     limits_.SetAlone();
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -155,6 +155,7 @@
                  std::random_device()()),
       transport_(MakeTransport(settings_, published_)) {
   published_.ShareCrashes(state_.quarantine());
+  published_.ShareRates(state_.endpoint_rates());
 }
 
 StoreDaemon::~StoreDaemon() {
--- a/policy/balancer.h
+++ b/policy/balancer.h
@@ -11,6 +11,7 @@
 #include "core/time.h"
 #include "policy/call.h"
 #include "policy/call_offer.h"
+#include "policy/endpoint_process.h"
 #include "policy/endpoint_report.h"
 #include "policy/endpoint_signals.h"
 #include "policy/endpoint_status.h"
@@ -92,6 +93,13 @@
   virtual void OnProbeSignals(EndpointIndex endpoint,
                               const EndpointSignals& signals,
                               TimePoint now) = 0;
+  // The rate limit that the endpoint has stated; null without one.
+  virtual std::optional<double> RateLimit(EndpointIndex endpoint) const = 0;
+  // Another host was told at `stated_at` of the endpoint's rate limit, or of
+  // its end.
+  virtual void HearRateLimit(const EndpointProcess& endpoint,
+                             std::optional<double> rate_limit,
+                             TimePoint stated_at) = 0;
   // Another host has seen the endpoint drain.
   virtual void HearDrain(const EndpointId& id, TimePoint now) = 0;
   // Time passes: refuses what missed its deadline, sends what may go now.
--- a/policy/crash_ledger.h
+++ b/policy/crash_ledger.h
@@ -7,22 +7,13 @@
 #include <unordered_map>
 #include <vector>
 
-#include "contract/service.h"
-#include "core/ids.h"
 #include "core/random.h"
 #include "core/request_fingerprint.h"
 #include "core/time.h"
+#include "policy/endpoint_process.h"
 
 namespace damasktack {
 
-// One process of an endpoint.
-struct EndpointProcess {
-  EndpointId id;
-  EndpointStart started_at{};
-
-  bool operator==(const EndpointProcess&) const = default;
-};
-
 // An endpoint's process ended while it worked on the request.
 struct CrashSighting {
   RequestFingerprint request;
--- a/policy/endpoint_restraints.cc
+++ b/policy/endpoint_restraints.cc
@@ -55,6 +55,16 @@
   }
 }
 
+void EndpointRestraints::OnHeard(EndpointIndex index,
+                                 std::optional<double> rate_limit,
+                                 TimePoint stated_at) {
+  Restraint& restraint = restraints_[index];
+  if (stated_at > restraint.limit_stated_at) {
+    restraint.rate_limit = rate_limit;
+    restraint.limit_stated_at = stated_at;
+  }
+}
+
 double EndpointRestraints::Share(double rate_limit, TimePoint now) const {
   return std::max(rate_limit * kSharedOut, kLeastRate) / fleet_.Count(now);
 }
--- a/policy/endpoint_restraints.h
+++ b/policy/endpoint_restraints.h
@@ -39,6 +39,10 @@
   void OnProbeAnswer(EndpointIndex index,
                      const EndpointSignals& signals,
                      TimePoint now);
+  // Another host was told of the limit, or of its end, at `stated_at`.
+  void OnHeard(EndpointIndex index,
+               std::optional<double> rate_limit,
+               TimePoint stated_at);
   void OnSend(EndpointIndex index, TimePoint now) {
     restraints_[index].schedule.OnSend(now);
   }
--- a/policy/endpoint_table.cc
+++ b/policy/endpoint_table.cc
@@ -218,6 +218,18 @@
   roster_.OnReportedMode(endpoint, report.mode, now);
 }
 
+void EndpointTable::HearRateLimit(const EndpointProcess& endpoint,
+                                  std::optional<double> rate_limit,
+                                  TimePoint stated_at) {
+  for (EndpointIndex n = 0; n < specs_.size(); ++n) {
+    const bool is_it = specs_[n].id == endpoint.id &&
+                       specs_[n].started_at == endpoint.started_at;
+    if (is_it && roster_.record(n).listed) {
+      restraints_.OnHeard(n, rate_limit, stated_at);
+    }
+  }
+}
+
 void EndpointTable::OnHeardDrain(const EndpointId& id, TimePoint now) {
   for (EndpointIndex n = 0; n < specs_.size(); ++n) {
     if (specs_[n].id == id && roster_.record(n).listed) {
--- a/policy/endpoint_table.h
+++ b/policy/endpoint_table.h
@@ -10,6 +10,7 @@
 #include "core/random.h"
 #include "core/time.h"
 #include "policy/call.h"
+#include "policy/endpoint_process.h"
 #include "policy/endpoint_report.h"
 #include "policy/endpoint_restraints.h"
 #include "policy/endpoint_roster.h"
@@ -93,6 +94,13 @@
     restraints_.OnProbeAnswer(endpoint, signals, now);
   }
 
+  std::optional<double> RateLimit(EndpointIndex endpoint) const {
+    return restraints_.rate_limit(endpoint);
+  }
+  void HearRateLimit(const EndpointProcess& endpoint,
+                     std::optional<double> rate_limit,
+                     TimePoint stated_at);
+
   // Another host has seen the endpoint drain.
   void OnHeardDrain(const EndpointId& id, TimePoint now);
 
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -61,6 +61,14 @@
                       TimePoint now) override {
     endpoints_.OnProbeSignals(endpoint, signals, now);
   }
+  std::optional<double> RateLimit(EndpointIndex endpoint) const override {
+    return endpoints_.RateLimit(endpoint);
+  }
+  void HearRateLimit(const EndpointProcess& endpoint,
+                     std::optional<double> rate_limit,
+                     TimePoint stated_at) override {
+    endpoints_.HearRateLimit(endpoint, rate_limit, stated_at);
+  }
   void HearDrain(const EndpointId& id, TimePoint now) override;
   void Tick(TimePoint now, Decisions& out) override;
   std::optional<EndpointIndex> NextProbe(TimePoint now) override;
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -322,6 +322,16 @@
   }
 }
 
+void MeasuredEndpoints::HearRateLimit(const EndpointProcess& endpoint,
+                                      std::optional<double> rate_limit,
+                                      TimePoint stated_at) {
+  const auto known = listed_.find(endpoint.id);
+  if (known != listed_.end() &&
+      specs_[known->second].started_at == endpoint.started_at) {
+    restraints_.OnHeard(known->second, rate_limit, stated_at);
+  }
+}
+
 void MeasuredEndpoints::HearDrain(const EndpointId& id, TimePoint now) {
   const auto known = listed_.find(id);
   if (known != listed_.end()) {
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -11,6 +11,7 @@
 #include "policy/cold_endpoints.h"
 #include "policy/endpoint_measure.h"
 #include "policy/endpoint_preference.h"
+#include "policy/endpoint_process.h"
 #include "policy/endpoint_restraints.h"
 #include "policy/endpoint_roster.h"
 #include "policy/execution_profile.h"
@@ -70,6 +71,12 @@
                       TimePoint now) {
     restraints_.OnProbeAnswer(endpoint, signals, now);
   }
+  std::optional<double> RateLimit(EndpointIndex endpoint) const {
+    return restraints_.rate_limit(endpoint);
+  }
+  void HearRateLimit(const EndpointProcess& endpoint,
+                     std::optional<double> rate_limit,
+                     TimePoint stated_at);
   void OnProbe(EndpointIndex endpoint, TimePoint now);
   void OnProbeFailed(EndpointIndex endpoint, SendResult result, TimePoint now);
   void HearDrain(const EndpointId& id, TimePoint now);
--- a/policy/service_balancer.h
+++ b/policy/service_balancer.h
@@ -67,6 +67,14 @@
                       TimePoint now) override {
     table_.OnProbeSignals(endpoint, signals, now);
   }
+  std::optional<double> RateLimit(EndpointIndex endpoint) const override {
+    return table_.RateLimit(endpoint);
+  }
+  void HearRateLimit(const EndpointProcess& endpoint,
+                     std::optional<double> rate_limit,
+                     TimePoint stated_at) override {
+    table_.HearRateLimit(endpoint, rate_limit, stated_at);
+  }
   void HearDrain(const EndpointId& id, TimePoint now) override;
   void Tick(TimePoint now, Decisions& out) override;
   std::optional<EndpointIndex> NextProbe(TimePoint now) override;
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -10,24 +10,35 @@
 ProxyState::ProxyState(ProxyOptions options,
                        LimitGate& limits,
                        ClaimGate& claims)
-    : options_(std::move(options)), limits_(limits), claims_(claims) {}
+    : options_(std::move(options)), limits_(limits), claims_(claims) {
+  endpoint_rates_.SetOnHeard([this](const StatedRate& stated) {
+    for (const auto& [id, dispatcher] : dispatchers()) {
+      dispatcher->HearRate(stated);
+    }
+  });
+}
 
 void ProxyState::SetRouting(RoutingTablePtr table,
                             std::int64_t hosts,
                             TimePoint now) {
+  const std::vector<StatedRate> rates = endpoint_rates_.InForce();
   const std::unique_lock lock(mutex_);
   for (const ServiceSpec& service : table->services()) {
     std::shared_ptr<ServiceDispatcher>& dispatcher = dispatchers_[service.id];
     if (!dispatcher) {
       const ConnectionShare share{options_.threads, options_.idle_per_endpoint};
-      dispatcher =
-          std::make_shared<ServiceDispatcher>(MakeBalancer(), share, [this] {
-            if (on_waiting_) {
-              on_waiting_();
-            }
-          });
+      dispatcher = std::make_shared<ServiceDispatcher>(MakeBalancer(), share,
+                                                       endpoint_rates_, [this] {
+                                                         if (on_waiting_) {
+                                                           on_waiting_();
+                                                         }
+                                                       });
     }
     dispatcher->SetService(service, hosts, now);
+    // What peers said of an endpoint may come before its entry.
+    for (const StatedRate& it : rates) {
+      dispatcher->HearRate(it);
+    }
   }
   RemoveUnlisted(*table, now);
   routing_ = std::move(table);
@@ -91,6 +102,9 @@
   std::ostringstream out;
   out << metrics_.Render() << counters_.Render(stopping_)
       << quarantine_.RenderMetrics()
+      << "# TYPE damasktack_endpoint_rate_limits gauge\n"
+      << "damasktack_endpoint_rate_limits " << endpoint_rates_.InForce().size()
+      << "\n"
       << "# TYPE damasktack_call_lines_dropped_total counter\n"
       << "damasktack_call_lines_dropped_total " << call_log_.dropped() << "\n"
       << "# TYPE damasktack_probes_total counter\n"
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "fleet/claim_gate.h"
+#include "fleet/endpoint_rates.h"
 #include "fleet/limit_gate.h"
 #include "fleet/request_quarantine.h"
 #include "policy/measured_balancer.h"
@@ -58,6 +59,7 @@
   LimitGate& limits() { return limits_; }
   ClaimGate& claims() { return claims_; }
   RequestQuarantine& quarantine() { return quarantine_; }
+  EndpointRates& endpoint_rates() { return endpoint_rates_; }
   CallMetrics& metrics() { return metrics_; }
   const CallMetrics& metrics() const { return metrics_; }
   ProxyCounters& counters() { return counters_; }
@@ -113,6 +115,7 @@
   LimitGate& limits_;
   ClaimGate& claims_;
   RequestQuarantine quarantine_;
+  EndpointRates endpoint_rates_;
   CallMetrics metrics_;
   ProxyCounters counters_;
   CallLog call_log_;
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -9,8 +9,10 @@
 
 ServiceDispatcher::ServiceDispatcher(std::unique_ptr<Balancer> balancer,
                                      ConnectionShare share,
+                                     EndpointRates& rates,
                                      std::function<void()> on_waiting)
     : share_(share),
+      rates_(rates),
       balancer_(std::move(balancer)),
       on_waiting_(std::move(on_waiting)) {}
 
@@ -56,6 +58,7 @@
   std::vector<Placed> placed;
   AfterSend after = AfterSend::kDone;
   bool waiting = false;
+  std::optional<StatedRate> stated;
   {
     const std::lock_guard lock(mutex_);
     waiting_.emplace(offer.token, std::move(on_placed));
@@ -63,7 +66,9 @@
       NoteDrain(end.endpoint, *end.report);
     }
     if (end.signals) {
-      balancer_->OnSignals(end.endpoint, *end.signals, now - end.took, now);
+      stated = TakeSignals(end.endpoint, now, [&] {
+        balancer_->OnSignals(end.endpoint, *end.signals, now - end.took, now);
+      });
     }
     after = balancer_->Finish(offer, end, now, decisions);
     if (after == AfterSend::kDone) {
@@ -72,6 +77,7 @@
     placed = Resolve(decisions);
     waiting = balancer_->waiting() > 0;
   }
+  TellRate(stated);
   Tell(placed, waiting);
   return after;
 }
@@ -102,8 +108,39 @@
 void ServiceDispatcher::OnProbeSignals(EndpointIndex endpoint,
                                        const EndpointSignals& signals,
                                        TimePoint now) {
+  std::optional<StatedRate> stated;
+  {
+    const std::lock_guard lock(mutex_);
+    stated = TakeSignals(endpoint, now, [&] {
+      balancer_->OnProbeSignals(endpoint, signals, now);
+    });
+  }
+  TellRate(stated);
+}
+
+template <typename Take>
+std::optional<StatedRate> ServiceDispatcher::TakeSignals(EndpointIndex endpoint,
+                                                         TimePoint now,
+                                                         Take take) {
+  const std::optional<double> before = balancer_->RateLimit(endpoint);
+  take();
+  const std::optional<double> after = balancer_->RateLimit(endpoint);
+  if (before == after) {
+    return std::nullopt;
+  }
+  const EndpointSpec& spec = balancer_->endpoint(endpoint);
+  return StatedRate{{spec.id, spec.started_at}, after, now};
+}
+
+void ServiceDispatcher::TellRate(const std::optional<StatedRate>& stated) {
+  if (stated) {
+    rates_.OnStated(*stated);
+  }
+}
+
+void ServiceDispatcher::HearRate(const StatedRate& stated) {
   const std::lock_guard lock(mutex_);
-  balancer_->OnProbeSignals(endpoint, signals, now);
+  balancer_->HearRateLimit(stated.endpoint, stated.rate_limit, stated.at);
 }
 
 void ServiceDispatcher::ProbeFailed(EndpointIndex endpoint,
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "fleet/endpoint_rates.h"
 #include "policy/balancer.h"
 #include "proxy/endpoint_pool.h"
 
@@ -52,9 +53,11 @@
   using OnPlaced = std::function<void(const Placement&)>;
 
   // `on_waiting` runs after an event that left calls waiting, on the thread
-  // of the event; their owner then has probes to send and time to keep.
+  // of the event; their owner then has probes to send and time to keep. `rates`
+  // hears which limits endpoints state, and must outlive the dispatcher.
   ServiceDispatcher(std::unique_ptr<Balancer> balancer,
                     ConnectionShare share,
+                    EndpointRates& rates,
                     std::function<void()> on_waiting);
 
   void SetService(const ServiceSpec& service,
@@ -80,6 +83,8 @@
                       const EndpointSignals& signals,
                       TimePoint now);
   void ProbeFailed(EndpointIndex endpoint, SendResult result, TimePoint now);
+  // Another host was told of an endpoint's rate limit.
+  void HearRate(const StatedRate& stated);
   // Another host has seen the endpoint drain.
   void HearDrain(const EndpointId& endpoint, TimePoint now);
   // Endpoints that told this host itself that they drain, since the last call.
@@ -107,9 +112,17 @@
   // The caller holds the lock.
   void LogChanges();
   void NoteDrain(EndpointIndex endpoint, const EndpointReport& report);
+  // What changed in the limit that the endpoint stated, where it did.
+  template <typename Take>
+  std::optional<StatedRate> TakeSignals(EndpointIndex endpoint,
+                                        TimePoint now,
+                                        Take take);
+  // Outside the lock: the hosts' exchange has one of its own.
+  void TellRate(const std::optional<StatedRate>& stated);
   EndpointTarget TargetOf(EndpointIndex endpoint) const;
 
   const ConnectionShare share_;
+  EndpointRates& rates_;
   std::atomic<std::uint64_t> probes_ = 0;
   std::atomic<std::uint64_t> probe_bytes_ = 0;
   mutable std::mutex mutex_;
--- a/tests/proxy/test_endpoint_pool.cc
+++ b/tests/proxy/test_endpoint_pool.cc
@@ -99,9 +99,10 @@
   endpoint.slots = 6;
   endpoint.connections = 250;
   service.endpoints = {endpoint};
+  EndpointRates rates;
   ServiceDispatcher dispatcher(
       std::make_unique<ServiceBalancer>(BalancerOptions{}, 1),
-      ConnectionShare{2, 16}, {});
+      ConnectionShare{2, 16}, rates, {});
   const TimePoint now = Clock::now();
   const auto kept_with = [&](std::int64_t hosts, CallToken token) {
     dispatcher.SetService(service, hosts, now);
