--- a/tests/main/test_crashing_requests.cc
+++ b/tests/main/test_crashing_requests.cc
@@ -47,15 +47,6 @@
   return endpoints;
 }
 
-std::vector<std::uint16_t> PortsOf(
-    const std::vector<std::unique_ptr<CrashingEndpoint>>& endpoints) {
-  std::vector<std::uint16_t> ports;
-  for (const auto& it : endpoints) {
-    ports.push_back(it->port());
-  }
-  return ports;
-}
-
 int CountCrashes(
     const std::vector<std::unique_ptr<CrashingEndpoint>>& endpoints) {
   int crashes = 0;
--- a/tests/main/test_stated_limits.cc
+++ b/tests/main/test_stated_limits.cc
@@ -2,7 +2,6 @@
 #include <httplib.h>
 
 #include <algorithm>
-#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -30,24 +29,6 @@
 constexpr milliseconds kBetweenCalls(30);
 constexpr auto kHttpOk = 200;
 
-using Endpoints = std::vector<std::unique_ptr<ScriptedEndpoint>>;
-
-Endpoints MakeEndpoints(const std::string& call_header) {
-  Endpoints endpoints;
-  for (std::size_t n = 0; n < kEndpoints; ++n) {
-    endpoints.push_back(std::make_unique<ScriptedEndpoint>(call_header));
-  }
-  return endpoints;
-}
-
-std::vector<std::uint16_t> PortsOf(const Endpoints& endpoints) {
-  std::vector<std::uint16_t> ports;
-  for (const auto& it : endpoints) {
-    ports.push_back(it->port());
-  }
-  return ports;
-}
-
 // A host that has just started has no part of its customers' limits yet.
 void AwaitService(httplib::Client& client,
                   const std::string& path,
@@ -97,7 +78,7 @@
   return worst;
 }
 
-void StateLimit(const Endpoints& endpoints, const std::string& header) {
+void StateLimit(const ScriptedEndpoints& endpoints, const std::string& header) {
   for (std::size_t n = 0; n < kLimited; ++n) {
     endpoints[n]->SetScript([header](ScriptedEndpoint::Response& answer) {
       answer.set(header, std::to_string(kLimit));
@@ -105,7 +86,7 @@
   }
 }
 
-void CheckWithinLimit(const Endpoints& endpoints) {
+void CheckWithinLimit(const ScriptedEndpoints& endpoints) {
   for (std::size_t n = 0; n < kLimited; ++n) {
     CHECK(static_cast<double>(WorstWindow(*endpoints[n])) <= kMost);
   }
@@ -114,7 +95,8 @@
 // Guards against hosts that pass over the limit an endpoint states in its
 // answers, or each take all of it.
 TEST_CASE("an endpoint that states a rate limit gets no more from all hosts") {
-  const Endpoints endpoints = MakeEndpoints(StoreFleet::kCall);
+  const ScriptedEndpoints endpoints =
+      MakeScriptedEndpoints(kEndpoints, StoreFleet::kCall);
   StateLimit(endpoints, "X-Damasktack-Server-Limit");
   const StoreFleet fleet(kHosts, PortsOf(endpoints));
   SendCalls(fleet.ports(), "/x/call",
@@ -126,7 +108,8 @@
 
 // The same on damasktack's own interface.
 TEST_CASE("a customer's endpoint that states a rate limit gets no more") {
-  const Endpoints endpoints = MakeEndpoints(DocumentFleet::kCall);
+  const ScriptedEndpoints endpoints =
+      MakeScriptedEndpoints(kEndpoints, DocumentFleet::kCall);
   StateLimit(endpoints, "Endpoint-Limit");
   const DocumentFleet fleet(kHosts, PortsOf(endpoints));
   SendCalls(fleet.ports(), "/dispatch/call",
--- a/tests/support/daemon_fleets.h
+++ b/tests/support/daemon_fleets.h
@@ -39,6 +39,16 @@
 
 }  // namespace detail
 
+template <typename Endpoint>
+std::vector<std::uint16_t> PortsOf(
+    const std::vector<std::unique_ptr<Endpoint>>& endpoints) {
+  std::vector<std::uint16_t> ports;
+  for (const auto& it : endpoints) {
+    ports.push_back(it->port());
+  }
+  return ports;
+}
+
 // Entry hosts of a deployment with a store, at which calls to "a.example/x/" go
 // to the given endpoints.
 class StoreFleet {
--- a/tests/support/scripted_endpoint.h
+++ b/tests/support/scripted_endpoint.h
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -114,6 +115,17 @@
   std::thread thread_;
 };
 
+using ScriptedEndpoints = std::vector<std::unique_ptr<ScriptedEndpoint>>;
+
+inline ScriptedEndpoints MakeScriptedEndpoints(std::size_t count,
+                                               const std::string& call_header) {
+  ScriptedEndpoints endpoints;
+  for (std::size_t n = 0; n < count; ++n) {
+    endpoints.push_back(std::make_unique<ScriptedEndpoint>(call_header));
+  }
+  return endpoints;
+}
+
 }  // namespace damasktack
 
 #endif  // TESTS_SUPPORT_SCRIPTED_ENDPOINT_H_
