Endpoints that ask a host for rest get it

Cause: Retry-After of an endpoint's refusal was read by nobody; a refusal cost the endpoint a penalty that fades within a second. The same class as the limits: what an endpoint says of itself in answers was dropped.

One passed on from a further hop asks for no rest. Where all endpoints rest, calls are refused at once with what is left of the shortest rest, at most a second. Bounds: one time for each endpoint, no messages.

Ruled out: a rest that a probe's answer ends (the endpoint looks free); a rest for the whole fleet (it is asked of one host).

--- a/policy/endpoint_restraints.cc
+++ b/policy/endpoint_restraints.cc
@@ -49,6 +49,10 @@
 void EndpointRestraints::OnProbeAnswer(EndpointIndex index,
                                        const EndpointSignals& signals,
                                        TimePoint now) {
+  if (signals.rest) {
+    TimePoint& until = restraints_[index].rest_until;
+    until = std::max<TimePoint>(until, now + *signals.rest);
+  }
   if (signals.rate_limit) {
     restraints_[index].rate_limit = signals.rate_limit;
     restraints_[index].limit_stated_at = now;
@@ -71,6 +75,9 @@
 
 bool EndpointRestraints::MayTakeOne(EndpointIndex index, TimePoint now) const {
   const Restraint& it = restraints_[index];
+  if (now < it.rest_until) {
+    return false;
+  }
   return !it.rate_limit || it.schedule.Allows(Share(*it.rate_limit, now), now);
 }
 
@@ -78,10 +85,11 @@
                                       TimePoint now,
                                       TimePoint latest) const {
   const Restraint& it = restraints_[index];
-  if (!it.rate_limit) {
-    return now;
+  const TimePoint rested = std::max(now, it.rest_until);
+  if (!it.rate_limit || rested >= latest) {
+    return std::min(rested, latest);
   }
-  return it.schedule.NextAllowed(Share(*it.rate_limit, now), now, latest);
+  return it.schedule.NextAllowed(Share(*it.rate_limit, now), rested, latest);
 }
 
 std::optional<TimePoint> EndpointRestraints::FirstOpening(
--- a/policy/endpoint_restraints.h
+++ b/policy/endpoint_restraints.h
@@ -19,7 +19,8 @@
 //
 // The load that it answers: an endpoint in need takes a few requests a second
 // from all hosts together and says so in its answers, while it looks as free as
-// any other. Each host keeps to its part, by the size of the fleet.
+// any other. Each host keeps to its part, by the size of the fleet. One that
+// refuses a request may ask its host for rest, and gets nothing meanwhile.
 class EndpointRestraints {
  public:
   explicit EndpointRestraints(const HostId& host) : host_(host) {}
@@ -48,6 +49,10 @@
   }
 
   bool MayTakeOne(EndpointIndex index, TimePoint now) const;
+  // Whether it wants neither calls nor probes now.
+  bool IsResting(EndpointIndex index, TimePoint now) const {
+    return now < restraints_[index].rest_until;
+  }
   // From when on MayTakeOne holds; `latest` where not before.
   TimePoint OpensAt(EndpointIndex index, TimePoint now, TimePoint latest) const;
   // The earliest OpensAt of the endpoints; null without any.
@@ -66,6 +71,7 @@
     // When the limit was last stated, or taken back.
     TimePoint limit_stated_at;
     SharedRate schedule;
+    TimePoint rest_until;
   };
 
   // This host's part of a limit, in requests a second.
--- a/policy/endpoint_signals.h
+++ b/policy/endpoint_signals.h
@@ -3,6 +3,8 @@
 
 #include <optional>
 
+#include "core/time.h"
+
 namespace damasktack {
 
 // What an endpoint's answer says of the requests that it wants, beside its
@@ -11,6 +13,8 @@
   // Requests a second that it takes from all hosts together; null where the
   // answer states no limit.
   std::optional<double> rate_limit;
+  // It wants no request from this host for so long.
+  std::optional<Duration> rest;
 
   bool operator==(const EndpointSignals&) const = default;
 };
--- a/policy/endpoint_table.cc
+++ b/policy/endpoint_table.cc
@@ -248,7 +248,8 @@
   double highest = 0;
   for (EndpointIndex n = 0; n < specs_.size(); ++n) {
     EndpointRecord& record = roster_.record(n);
-    const double need = ProbeNeed(record, context);
+    const double need =
+        restraints_.IsResting(n, now) ? 0 : ProbeNeed(record, context);
     if (need > 0 && !has_probe && !record.probe_withheld) {
       record.probe_withheld = true;
       ++probes_withheld_;
--- a/proxy/endpoint_signals_codec.cc
+++ b/proxy/endpoint_signals_codec.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <atomic>
 #include <charconv>
 #include <cmath>
@@ -14,6 +15,8 @@
 
 // Lines on headers that cannot be read that one process writes.
 constexpr int kMostLines = 16;
+// A longer rest is taken as this long: the endpoint has then been replaced.
+constexpr std::chrono::hours kLongestRest(24);
 
 // The first of the headers that the answer has; empty without any.
 std::string_view FirstOf(const HttpResponse& answer,
@@ -27,6 +30,15 @@
   return {};
 }
 
+// A refusal that the endpoint passes on from a further hop says nothing of the
+// endpoint itself.
+bool IsOwnRefusal(const HttpResponse& answer, const ProtocolNames& names) {
+  const bool is_refusal =
+      answer.result() == http::status::service_unavailable ||
+      answer.result() == http::status::too_many_requests;
+  return is_refusal && answer.count(names.outcome) == 0;
+}
+
 void LogRefused(std::string_view what, std::string_view text) {
   static std::atomic<int> lines = 0;
   if (lines < kMostLines && lines.fetch_add(1) < kMostLines) {
@@ -50,9 +62,22 @@
   return rate;
 }
 
+std::optional<Duration> ParseSeconds(std::string_view text) {
+  const std::optional<double> seconds = ParseRate(text);
+  if (!seconds) {
+    return std::nullopt;
+  }
+  using Seconds = std::chrono::duration<double>;
+  return std::chrono::duration_cast<Duration>(
+      std::min(Seconds(*seconds), Seconds(kLongestRest)));
+}
+
 EndpointSignals ReadEndpointSignals(const HttpResponse& answer,
                                     const ProtocolNames& names) {
   EndpointSignals signals;
+  if (IsOwnRefusal(answer, names)) {
+    signals.rest = ParseSeconds(FromBeast(answer[http::field::retry_after]));
+  }
   const std::string_view limit = FirstOf(answer, names.rate_limit);
   if (!limit.empty()) {
     signals.rate_limit = ParseRate(limit);
--- a/tests/policy/test_endpoint_restraints.cc
+++ b/tests/policy/test_endpoint_restraints.cc
@@ -179,11 +179,39 @@
   CHECK(host.rate_limit(kEndpoint) == 1);
 }
 
-TEST_CASE("another process at the index has no limit") {
+// Guards against an endpoint that is called again within the rest that it asked
+// for, whatever its other answers say.
+TEST_CASE("an endpoint that asked for rest gets nothing until it is over") {
+  EndpointRestraints host = MakeHost("h", 1, kStart);
+  host.OnAnswer(kEndpoint, {.rest = seconds(3)}, kStart, kStart);
+  host.OnAnswer(kEndpoint, {.rest = seconds(1)}, kStart, kStart);
+  host.OnAnswer(kEndpoint, {}, kStart, kStart + seconds(1));
+  CHECK_FALSE(host.MayTakeOne(kEndpoint, kStart + milliseconds(2999)));
+  CHECK(host.IsResting(kEndpoint, kStart + milliseconds(2999)));
+  CHECK(host.MayTakeOne(kEndpoint, kStart + seconds(3)));
+  CHECK(host.OpensAt(kEndpoint, kStart, kStart + seconds(9)) ==
+        kStart + seconds(3));
+  CHECK(host.OpensAt(kEndpoint, kStart, kStart + seconds(2)) ==
+        kStart + seconds(2));
+}
+
+TEST_CASE("after its rest an endpoint still has its limit") {
+  EndpointRestraints host = MakeHost("h", 1000, kStart);
+  host.OnAnswer(kEndpoint, {.rate_limit = 0, .rest = seconds(3)}, kStart,
+                kStart);
+  const TimePoint latest = kStart + seconds(60);
+  const TimePoint opens_at = host.OpensAt(kEndpoint, kStart, latest);
+  CHECK(opens_at >= kStart + seconds(3));
+  CHECK((opens_at == latest || host.MayTakeOne(kEndpoint, opens_at)));
+}
+
+TEST_CASE("another process at the index has no limit and no rest") {
   EndpointRestraints host = MakeHost("h", 1000, kStart);
-  host.OnAnswer(kEndpoint, {.rate_limit = 1}, kStart, kStart);
+  host.OnAnswer(kEndpoint, {.rate_limit = 1, .rest = seconds(9)}, kStart,
+                kStart);
   host.OnAdded(kEndpoint, EndpointId("other"));
   CHECK_FALSE(host.rate_limit(kEndpoint));
+  CHECK(host.MayTakeOne(kEndpoint, kStart));
 }
 
 // Guards against an endpoint that is never asked again after it took nothing
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -128,6 +128,19 @@
   CHECK(harness.probes == 0);
 }
 
+TEST_CASE("where all endpoints rest a call is refused for as long at once") {
+  constexpr int kEndpoints = 8;
+  Harness harness(kEndpoints);
+  for (EndpointIndex n = 0; n < kEndpoints; ++n) {
+    harness.balancer.OnSignals(n, {.rest = milliseconds(600 + 10 * n)},
+                               harness.now, harness.now);
+  }
+  const Decisions out = harness.Offer(MakeCall(1, harness.now));
+  REQUIRE(out.rejections.size() == 1);
+  CHECK(out.rejections[0].retry_after == milliseconds(600));
+  CHECK(harness.probes == 0);
+}
+
 TEST_CASE("calls go to endpoints without a limit") {
   constexpr int kEndpoints = 8;
   Harness harness(kEndpoints);
--- a/tests/proxy/test_endpoint_signals_codec.cc
+++ b/tests/proxy/test_endpoint_signals_codec.cc
@@ -28,6 +28,38 @@
   }
 }
 
+EndpointSignals ReadRetryAfter(http::status status,
+                               const char* seconds,
+                               bool is_passed_on = false) {
+  HttpResponse answer(status, 11);
+  answer.set(http::field::retry_after, seconds);
+  if (is_passed_on) {
+    answer.set(std::string(kOutcomeHeader), "not-run");
+  }
+  return ReadEndpointSignals(answer, {});
+}
+
+TEST_CASE("a refusal with Retry-After asks for rest") {
+  using std::chrono::milliseconds;
+  const auto unavailable = http::status::service_unavailable;
+  CHECK(ReadRetryAfter(unavailable, "3").rest == milliseconds(3000));
+  CHECK(ReadRetryAfter(unavailable, "0.25").rest == milliseconds(250));
+  CHECK(ReadRetryAfter(http::status::too_many_requests, "1").rest ==
+        milliseconds(1000));
+  CHECK(ReadRetryAfter(unavailable, "1e18").rest == std::chrono::hours(24));
+  CHECK_FALSE(
+      ReadRetryAfter(unavailable, "Thu, 03 Dec 2026 10:00:00 GMT").rest);
+  CHECK_FALSE(ReadRetryAfter(unavailable, "-1").rest);
+  CHECK_FALSE(ReadRetryAfter(http::status::ok, "3").rest);
+}
+
+// Guards against an endpoint that is left alone for what a service behind it
+// asked of it.
+TEST_CASE("a refusal that an endpoint passes on asks for no rest") {
+  CHECK_FALSE(
+      ReadRetryAfter(http::status::service_unavailable, "3", true).rest);
+}
+
 TEST_CASE("on a platform with a store the limit has either name") {
   const ProtocolNames names = KvProtocolNames();
   CHECK(Read("X-Damasktack-Server-Limit", "1.2", names).rate_limit == 1.2);
