An endpoint that says that it leaves gets no more calls

Cause, found by looking for the others' cause elsewhere: an endpoint's word in its answers that it leaves was not read on a platform with a store; hosts went by the list only, which says so later, or never. A later word of the list or of a probe would have brought the endpoint back besides.

Change: EndpointSignals has the word, EndpointRoster::OnLeaving keeps it for the life of the process: neither an answer without it, nor a probe, nor the list takes it back; idle connections to the endpoint are closed. On damasktack's own interface mode=draining said it already.

--- a/policy/endpoint_record.h
+++ b/policy/endpoint_record.h
@@ -41,6 +41,9 @@
   bool drain_reported = false;
   TimePoint drain_reported_at;
 
+  // It said that it leaves; nothing takes that back.
+  bool said_leaving = false;
+
   bool probe_pending = false;
   TimePoint probe_sent_at;
   // Its want of a probe has been counted as withheld.
--- a/policy/endpoint_roster.cc
+++ b/policy/endpoint_roster.cc
@@ -1,6 +1,7 @@
 #include "policy/endpoint_roster.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "policy/ejection.h"
 #include "policy/slow_start.h"
@@ -56,7 +57,7 @@
   if (record.listed_as_leaving) {
     Follow(index, EndpointEvent::kDrains,
            spec.zone_drained ? "zone drained" : "list", now);
-  } else if (was_leaving && !record.drain_reported) {
+  } else if (was_leaving && !record.drain_reported && !record.said_leaving) {
     Follow(index, EndpointEvent::kServes, "list", now);
   }
   KeepCeiling(now);
@@ -79,7 +80,9 @@
     KeepCeiling(now);
     return;
   }
-  if (record.drain_reported && now - record.drain_reported_at < kDrainHolds) {
+  const bool is_held =
+      record.drain_reported && now - record.drain_reported_at < kDrainHolds;
+  if (is_held || record.said_leaving) {
     return;
   }
   record.drain_reported = false;
@@ -90,6 +93,14 @@
   }
 }
 
+void EndpointRoster::OnLeaving(EndpointIndex index, TimePoint now) {
+  if (std::exchange(records_[index].said_leaving, true)) {
+    return;
+  }
+  Follow(index, EndpointEvent::kDrains, "said that it leaves", now);
+  KeepCeiling(now);
+}
+
 void EndpointRoster::OnMisdirected(EndpointIndex index, TimePoint now) {
   EndpointRecord& record = records_[index];
   record.drain_reported = true;
@@ -118,7 +129,8 @@
   // An endpoint that sends no reports shows by an answer that it serves. Not
   // one that leaves: the answers to calls that were under way when it began to
   // would bring it new ones until it stops.
-  const bool leaves = record.listed_as_leaving || record.drain_reported;
+  const bool leaves =
+      record.listed_as_leaving || record.drain_reported || record.said_leaving;
   if (result == SendResult::kAnswered && !record.estimate.has_report() &&
       !leaves) {
     Follow(index, EndpointEvent::kServes, "answer", now);
--- a/policy/endpoint_roster.h
+++ b/policy/endpoint_roster.h
@@ -24,6 +24,8 @@
   void OnUnlisted(EndpointIndex index, TimePoint now);
 
   void OnReportedMode(EndpointIndex index, EndpointMode mode, TimePoint now);
+  // It has said itself that it leaves.
+  void OnLeaving(EndpointIndex index, TimePoint now);
   // Another endpoint has its address: this one is gone, though the list does
   // not say so yet. Only a later report of its own brings it back.
   void OnMisdirected(EndpointIndex index, TimePoint now);
--- a/policy/endpoint_signals.h
+++ b/policy/endpoint_signals.h
@@ -15,6 +15,8 @@
   std::optional<double> rate_limit;
   // It wants no request from this host for so long.
   std::optional<Duration> rest;
+  // It is leaving: no further call, and only another process comes back.
+  bool leaving = false;
 
   bool operator==(const EndpointSignals&) const = default;
 };
--- a/policy/endpoint_table.h
+++ b/policy/endpoint_table.h
@@ -87,11 +87,13 @@
                  TimePoint asked_at,
                  TimePoint now) {
     restraints_.OnAnswer(endpoint, signals, asked_at, now);
+    NoteLeaving(endpoint, signals, now);
   }
   void OnProbeSignals(EndpointIndex endpoint,
                       const EndpointSignals& signals,
                       TimePoint now) {
     restraints_.OnProbeAnswer(endpoint, signals, now);
+    NoteLeaving(endpoint, signals, now);
   }
 
   std::optional<double> RateLimit(EndpointIndex endpoint) const {
@@ -116,6 +118,13 @@
   }
 
  private:
+  void NoteLeaving(EndpointIndex endpoint,
+                   const EndpointSignals& signals,
+                   TimePoint now) {
+    if (signals.leaving) {
+      roster_.OnLeaving(endpoint, now);
+    }
+  }
   std::optional<EndpointIndex> Find(const EndpointSpec& spec) const;
   void TakeIn(const EndpointSpec& spec, bool taken_as_warm, TimePoint now);
   // The way to another zone and back, by the time of an execution: as much as
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -65,11 +65,13 @@
                  TimePoint asked_at,
                  TimePoint now) {
     restraints_.OnAnswer(endpoint, signals, asked_at, now);
+    NoteLeaving(endpoint, signals, now);
   }
   void OnProbeSignals(EndpointIndex endpoint,
                       const EndpointSignals& signals,
                       TimePoint now) {
     restraints_.OnProbeAnswer(endpoint, signals, now);
+    NoteLeaving(endpoint, signals, now);
   }
   std::optional<double> RateLimit(EndpointIndex endpoint) const {
     return restraints_.rate_limit(endpoint);
@@ -131,6 +133,13 @@
     bool is_fresh = false;
   };
 
+  void NoteLeaving(EndpointIndex endpoint,
+                   const EndpointSignals& signals,
+                   TimePoint now) {
+    if (signals.leaving) {
+      roster_.OnLeaving(endpoint, now);
+    }
+  }
   // Whether any that was listed is so no more.
   bool Unlist(const ServiceSpec& service, TimePoint now);
   void TakeIn(const EndpointSpec& spec, bool as_warm, TimePoint now);
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -323,7 +323,10 @@
   out.wrote = wrote_;
   out.bytes = bytes_;
   out.took = Clock::now() - start;
-  GiveBackConnection(out.report && out.report->mode == EndpointMode::kDraining);
+  const bool is_draining =
+      (out.report && out.report->mode == EndpointMode::kDraining) ||
+      (out.signals && out.signals->leaving);
+  GiveBackConnection(is_draining);
   aborted_ = SendResult::kCancelled;
   co_return out;
 }
--- a/proxy/endpoint_signals_codec.cc
+++ b/proxy/endpoint_signals_codec.cc
@@ -78,6 +78,7 @@
   if (IsOwnRefusal(answer, names)) {
     signals.rest = ParseSeconds(FromBeast(answer[http::field::retry_after]));
   }
+  signals.leaving = FirstOf(answer, names.leaving) == "1";
   const std::string_view limit = FirstOf(answer, names.rate_limit);
   if (!limit.empty()) {
     signals.rate_limit = ParseRate(limit);
--- a/proxy/unknown_headers.cc
+++ b/proxy/unknown_headers.cc
@@ -24,7 +24,8 @@
   };
   return is(names.load) || is(names.shed) || is(names.cold_for) ||
          is(names.answering_endpoint) || is(names.signature) ||
-         std::ranges::any_of(names.rate_limit, is);
+         std::ranges::any_of(names.rate_limit, is) ||
+         std::ranges::any_of(names.leaving, is);
 }
 
 bool IsNew(beast::string_view name) {
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -141,6 +141,37 @@
   CHECK(harness.probes == 0);
 }
 
+// Guards against an endpoint that is called again because a late answer, a
+// probe or the list says that it serves.
+TEST_CASE("an endpoint that said that it leaves gets no more calls") {
+  constexpr int kEndpoints = 2;
+  Harness harness(kEndpoints);
+  harness.balancer.OnSignals(0, {.leaving = true}, harness.now, harness.now);
+  CallToken token = 0;
+  const auto check_left_alone = [&] {
+    const Decisions out = harness.Offer(MakeCall(++token, harness.now));
+    for (const Dispatch& it : out.dispatches) {
+      CHECK(it.endpoint == 1);
+    }
+  };
+  check_left_alone();
+  harness.now += std::chrono::seconds(5);
+  Decisions out;
+  harness.balancer.OnSignals(0, {}, harness.now, harness.now);
+  harness.balancer.Report(0, MakeReport(0, 1), harness.now, out);
+  check_left_alone();
+  ServiceSpec service = MakeService(kEndpoints);
+  service.endpoints[0].state = ListedState::kLeaving;
+  harness.balancer.SetService(service, 1, harness.now);
+  harness.balancer.SetService(MakeService(kEndpoints), 1, harness.now);
+  check_left_alone();
+  service = MakeService(kEndpoints);
+  service.endpoints[0].started_at += std::chrono::seconds(1);
+  service.endpoints.pop_back();
+  harness.balancer.SetService(service, 1, harness.now);
+  CHECK(harness.Offer(MakeCall(++token, harness.now)).dispatches.size() == 1);
+}
+
 TEST_CASE("calls go to endpoints without a limit") {
   constexpr int kEndpoints = 8;
   Harness harness(kEndpoints);
--- a/tests/proxy/test_endpoint_signals_codec.cc
+++ b/tests/proxy/test_endpoint_signals_codec.cc
@@ -60,6 +60,14 @@
       ReadRetryAfter(http::status::service_unavailable, "3", true).rest);
 }
 
+TEST_CASE("an endpoint says that it leaves by a header of its own") {
+  const ProtocolNames names = KvProtocolNames();
+  CHECK(Read("X-Damasktack-Server-Leaving", "1", names).leaving);
+  CHECK(Read("Server-Leaving", "1", names).leaving);
+  CHECK_FALSE(Read("Server-Leaving", "0", names).leaving);
+  CHECK_FALSE(Read("Server-Leaving", "1").leaving);
+}
+
 TEST_CASE("on a platform with a store the limit has either name") {
   const ProtocolNames names = KvProtocolNames();
   CHECK(Read("X-Damasktack-Server-Limit", "1.2", names).rate_limit == 1.2);
