Answers to probes count for the process that was probed; unlisted limits are forgotten

The place of an endpoint that is gone is given to the next one: an answer to a probe that comes late would have marked another process as leaving, for good. And limits of processes that are gone stayed in the gauge, and in what hosts that start are told, until 1,024 newer ones came.

Change: what a probe's answer says is passed over where the index names another process by now; a process on no list is forgotten a minute after its last change.

The late probe has no test of its own.

--- a/fleet/endpoint_rates.cc
+++ b/fleet/endpoint_rates.cc
@@ -20,6 +20,9 @@
       stated.rate_limit ? std::to_string(*stated.rate_limit) : "none", source);
 }
 
+// What is known of a process that is not listed is kept for so long.
+constexpr Duration kUnlistedKept = std::chrono::seconds(60);
+
 }  // namespace
 
 EndpointRateReport MakeEndpointRateReport(const std::vector<StatedRate>& rates,
@@ -132,4 +135,18 @@
   return rates;
 }
 
+void EndpointRates::ForgetUnlisted(
+    const std::function<bool(const EndpointProcess&)>& is_listed,
+    TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  std::erase_if(rates_, [&](const auto& it) {
+    const bool is_forgotten =
+        now - it.second.at >= kUnlistedKept && !is_listed(it.first);
+    if (is_forgotten) {
+      untold_.erase(it.first);
+    }
+    return is_forgotten;
+  });
+}
+
 }  // namespace damasktack
--- a/fleet/endpoint_rates.h
+++ b/fleet/endpoint_rates.h
@@ -49,6 +49,12 @@
   // All limits in force.
   std::vector<StatedRate> InForce() const;
 
+  // Forgets processes that are not listed, unless they were heard of just now:
+  // their entry may still be on its way.
+  void ForgetUnlisted(
+      const std::function<bool(const EndpointProcess&)>& is_listed,
+      TimePoint now);
+
   // Run on the thread that brought the news, outside the lock. To be set before
   // the first statement, or with no statement under way.
   void SetOnNews(std::function<void()> on_news);
--- a/proxy/caller_server.cc
+++ b/proxy/caller_server.cc
@@ -122,8 +122,8 @@
 asio::awaitable<void> CallerServer::TickLoop() {
   while (true) {
     boost::system::error_code ec;
-    // Waking every 2 ms for queues that are empty was most of what a quiet
-    // host spent on control.
+    // A quiet host would spend most of its control on waking for queues that
+    // are empty.
     tick_timer_->expires_after(is_quiet_ ? QuietPause()
                                          : state_.options().tick);
     co_await tick_timer_->async_wait(
@@ -185,7 +185,7 @@
   const ExchangeResult result = co_await exchange->Run(request, deadline, "");
   dispatcher->CountProbe(result.bytes);
   if (result.signals) {
-    dispatcher->OnProbeSignals(order.endpoint, *result.signals, Clock::now());
+    dispatcher->OnProbeSignals(order, *result.signals, Clock::now());
   }
   if (result.report) {
     dispatcher->Report(order.endpoint, *result.report, Clock::now());
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -7,6 +7,19 @@
 
 namespace damasktack {
 
+namespace {
+
+bool IsListed(const RoutingTable& table, const EndpointProcess& process) {
+  const auto is_it = [&](const EndpointSpec& it) {
+    return it.id == process.id && it.started_at == process.started_at;
+  };
+  return std::ranges::any_of(table.services(), [&](const ServiceSpec& it) {
+    return std::ranges::any_of(it.endpoints, is_it);
+  });
+}
+
+}  // namespace
+
 ProxyState::ProxyState(ProxyOptions options,
                        LimitGate& limits,
                        ClaimGate& claims)
@@ -21,6 +34,8 @@
 void ProxyState::SetRouting(RoutingTablePtr table,
                             std::int64_t hosts,
                             TimePoint now) {
+  endpoint_rates_.ForgetUnlisted(
+      [&](const EndpointProcess& it) { return IsListed(*table, it); }, now);
   const std::vector<StatedRate> rates = endpoint_rates_.InForce();
   const std::unique_lock lock(mutex_);
   for (const ServiceSpec& service : table->services()) {
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -105,14 +105,19 @@
   Tell(placed, waiting);
 }
 
-void ServiceDispatcher::OnProbeSignals(EndpointIndex endpoint,
+void ServiceDispatcher::OnProbeSignals(const ProbeOrder& probe,
                                        const EndpointSignals& signals,
                                        TimePoint now) {
   std::optional<StatedRate> stated;
   {
     const std::lock_guard lock(mutex_);
-    stated = TakeSignals(endpoint, now, [&] {
-      balancer_->OnProbeSignals(endpoint, signals, now);
+    const EndpointSpec& spec = balancer_->endpoint(probe.endpoint);
+    if (spec.id != probe.target.id ||
+        spec.started_at != probe.target.started_at) {
+      return;
+    }
+    stated = TakeSignals(probe.endpoint, now, [&] {
+      balancer_->OnProbeSignals(probe.endpoint, signals, now);
     });
   }
   TellRate(stated);
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -76,10 +76,13 @@
   Duration RetryAfterSend(const CallOffer& offer,
                           const SendEnd& end,
                           TimePoint now);
+  // What the answer to a probe says.
   void Report(EndpointIndex endpoint,
               const EndpointReport& report,
               TimePoint now);
-  void OnProbeSignals(EndpointIndex endpoint,
+  // The same; passed over where another process has the index by now, which
+  // would count as leaving for good.
+  void OnProbeSignals(const ProbeOrder& probe,
                       const EndpointSignals& signals,
                       TimePoint now);
   void ProbeFailed(EndpointIndex endpoint, SendResult result, TimePoint now);
--- a/tests/fleet/test_endpoint_rate_exchange.cc
+++ b/tests/fleet/test_endpoint_rate_exchange.cc
@@ -185,6 +185,20 @@
   CHECK(fleet.frames() - before <= kMostNews * 2 * kHosts);
 }
 
+TEST_CASE("a process that is not listed is forgotten after a while") {
+  EndpointRates rates;
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  rates.OnStated({kEndpoint, 1.5, now});
+  const auto unlisted = [](const EndpointProcess&) { return false; };
+  rates.ForgetUnlisted(unlisted, now + seconds(59));
+  CHECK(rates.InForce().size() == 1);
+  rates.ForgetUnlisted([](const EndpointProcess&) { return true; },
+                       now + seconds(60));
+  CHECK(rates.InForce().size() == 1);
+  rates.ForgetUnlisted(unlisted, now + seconds(60));
+  CHECK(rates.InForce().empty());
+}
+
 TEST_CASE("as many endpoints are remembered as there is room for") {
   EndpointRates rates;
   TimePoint now = TimePoint() + std::chrono::hours(1);
