--- a/contract/protocol_names.h
+++ b/contract/protocol_names.h
@@ -48,8 +48,8 @@
   // Requests a second that an endpoint takes from all hosts together, on its
   // answers; the first of these that an answer has counts.
   std::vector<std::string> rate_limit{std::string(kRateLimitHeader)};
-  // Set to 1 on all answers of an endpoint that leaves, also where its load does
-  // not say so; the first of these that an answer has counts.
+  // Set to 1 on all answers of an endpoint that leaves, also where its load
+  // does not say so; the first of these that an answer has counts.
   std::vector<std::string> leaving;
   // The id of the endpoint that a request is meant for; another one that has
   // taken over its address refuses with 421 and does not run it.
--- a/fleet/crash_exchange.h
+++ b/fleet/crash_exchange.h
@@ -2,7 +2,9 @@
 #define FLEET_CRASH_EXCHANGE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "fleet/fleet_module.h"
@@ -32,6 +34,11 @@
   explicit CrashExchange(RequestQuarantine& quarantine)
       : quarantine_(quarantine) {}
 
+  // Runs when there is news to Share, on the thread that brought it.
+  void SetOnNews(std::function<void()> on_news) {
+    quarantine_.SetOnNews(std::move(on_news));
+  }
+
   // A new peer hears what there is; one known in the same part, nothing.
   void OnPeer(const HostId& host,
               CrashListener listener,
--- a/fleet/endpoint_rate_exchange.h
+++ b/fleet/endpoint_rate_exchange.h
@@ -1,7 +1,10 @@
 #ifndef FLEET_ENDPOINT_RATE_EXCHANGE_H_
 #define FLEET_ENDPOINT_RATE_EXCHANGE_H_
 
+#include <cstdint>
+#include <functional>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "fleet/endpoint_rates.h"
@@ -25,6 +28,11 @@
   EndpointRateExchange(EndpointRates& rates, FleetShape shape)
       : rates_(rates), shape_(shape) {}
 
+  // Runs when there is news to Share, on the thread that brought it.
+  void SetOnNews(std::function<void()> on_news) {
+    rates_.SetOnNews(std::move(on_news));
+  }
+
   // A peer that has no link yet hears of all limits in force.
   void OnPeer(const HostId& host, TimePoint now, Outbox& out);
   void OnPeerGone(const HostId& host) { peers_.erase(host); }
--- a/fleet/feed_options.h
+++ b/fleet/feed_options.h
@@ -53,7 +53,7 @@
   // that are no seeds wait longer: the seeds tell them when the store is back.
   // In an outage of which a seed says that it asks in vain, all hosts that are
   // no seeds ask once within `outage_share` together, so that the calls do not
-  // grow with the fleet: 472 hosts asked 5,900 times in 8 s.
+  // grow with the fleet.
   Duration shortest_backoff = std::chrono::milliseconds(150);
   Duration longest_backoff = std::chrono::milliseconds(700);
   Duration longest_follower_backoff = std::chrono::milliseconds(2000);
--- a/fleet/limit_debts.cc
+++ b/fleet/limit_debts.cc
@@ -94,7 +94,7 @@
 }
 
 // Where every host is short, none has anything to lend; asking all of them
-// several times a second cost 10 KB/s for one customer on fifteen hosts.
+// several times a second would be most of what hosts say to each other.
 void LimitDebts::Refuse(const HostId& lender, bool lent_some, TimePoint now) {
   const auto it =
       std::find_if(refusals_.begin(), refusals_.end(),
--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -182,8 +182,8 @@
 }
 
 // What a host that is fed lost itself says nothing: a seed that the store
-// turned away, and that another seed fed, had its hosts keep removed endpoints
-// for 1.5 s longer.
+// turned away, and that another seed fed, would have its hosts keep removed
+// endpoints for longer.
 bool PublishedFeed::IsAfterOutage(TimePoint now) const {
   if (IsFed(now)) {
     return feeder_after_outage_;
@@ -192,9 +192,9 @@
          (regained_at_ && now - *regained_at_ < options_.after_outage);
 }
 
-// After a loss of power 472 hosts read 1,080 endpoints each at once: that took
-// 0.96 s, for all of which each of them refused its calls or let them wait. By
-// a part a host can serve, where it names some endpoints of each service.
+// After a loss of power all hosts read all endpoints at once, and each of them
+// refuses its calls or lets them wait meanwhile. By a part a host can serve,
+// where it names some endpoints of each service.
 void PublishedFeed::OnReadPart(PublishedItems part, TimePoint now) {
   if (ServesEachRoute(part)) {
     view_.TakeSome(part, now);
--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -47,34 +47,22 @@
 }
 
 void PublishedLoop::ShareCrashes(RequestQuarantine& quarantine) {
-  quarantine_ = &quarantine;
   crashes_.emplace(quarantine);
 }
 
 void PublishedLoop::ShareRates(EndpointRates& rates) {
-  rates_ = &rates;
   rate_exchange_.emplace(rates, FleetShape::kStar);
 }
 
 void PublishedLoop::Start(PeerTransport* transport) {
   transport_ = transport;
-  if (quarantine_ != nullptr) {
-    quarantine_->SetOnNews([this] { SendNews(crashes_); });
-  }
-  if (rates_ != nullptr) {
-    rates_->SetOnNews([this] { SendNews(rate_exchange_); });
-  }
+  ListenForNews();
   running_ = true;
   thread_ = std::thread([this] { Run(); });
 }
 
 void PublishedLoop::Stop() {
-  if (quarantine_ != nullptr) {
-    quarantine_->SetOnNews({});
-  }
-  if (rates_ != nullptr) {
-    rates_->SetOnNews({});
-  }
+  StopListening();
   {
     const std::lock_guard lock(mutex_);
     stopping_ = true;
@@ -89,6 +77,24 @@
   }
 }
 
+void PublishedLoop::ListenForNews() {
+  if (crashes_) {
+    crashes_->SetOnNews([this] { SendNews(crashes_); });
+  }
+  if (rate_exchange_) {
+    rate_exchange_->SetOnNews([this] { SendNews(rate_exchange_); });
+  }
+}
+
+void PublishedLoop::StopListening() {
+  if (crashes_) {
+    crashes_->SetOnNews({});
+  }
+  if (rate_exchange_) {
+    rate_exchange_->SetOnNews({});
+  }
+}
+
 void PublishedLoop::SetSeeds(std::vector<SocketAddress> seeds) {
   std::unique_lock lock(mutex_);
   feed_.SetSeeds(std::move(seeds));
--- a/fleet/published_loop.h
+++ b/fleet/published_loop.h
@@ -87,11 +87,11 @@
   // the news: the loop's own may be waiting for the store.
   template <typename Exchange>
   void SendNews(std::optional<Exchange>& exchange);
+  void ListenForNews();
+  void StopListening();
 
   PublishedSource& source_;
   PublishedLoopEvents& events_;
-  RequestQuarantine* quarantine_ = nullptr;
-  EndpointRates* rates_ = nullptr;
   PeerTransport* transport_ = nullptr;
   std::thread thread_;
   std::atomic<bool> running_ = false;
--- a/main/settings.h
+++ b/main/settings.h
@@ -43,8 +43,8 @@
   Duration gather = std::chrono::milliseconds(150);
   // How long a host that starts waits for its peers before it asks the store.
   Duration start_patience = std::chrono::milliseconds(250);
-  // Calls wait for the first routes until this long after the start. Reading
-  // 1,600 routes took 0.6 s where 124 hosts started together.
+  // Calls wait for the first routes until this long after the start: a large
+  // book takes a while where all hosts start together.
   Duration start_hold = std::chrono::milliseconds(1500);
   // Whether a host that starts reads any copy of the store at once.
   bool early_read = false;
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -50,9 +50,9 @@
   return options;
 }
 
-// How long a stop may take. A host that gave up calls after a fixed time cut
-// one that its endpoint had worked on for 4 s, although the platform would have
-// waited for 4 s more; the twelfth is for ending the process on a busy host.
+// How long a stop may take. A fixed time would cut calls that endpoints still
+// work on, although the platform waits longer; the twelfth is for ending the
+// process on a busy host.
 Duration LongestStop(const StopOptions& stop) {
   if (stop.grace_seconds <= 0) {
     return stop.lag + stop.longest;
--- a/policy/crash_ledger.h
+++ b/policy/crash_ledger.h
@@ -135,7 +135,8 @@
   bool IsSuspect(RequestFingerprint request) const {
     return mentions_.contains(request);
   }
-  // These two and Forget keep `mentions_` in step with the crashes.
+  // This, RemoveSuspect and RemoveCrashes keep `mentions_` in step with the
+  // crashes.
   void AddSuspect(Crash& crash, RequestFingerprint request);
   bool RemoveSuspect(Crash& crash, RequestFingerprint request);
   template <typename Predicate>
--- a/policy/endpoint_restraints.cc
+++ b/policy/endpoint_restraints.cc
@@ -9,10 +9,8 @@
 
 namespace {
 
-// The part of a limit that hosts share out. The draws of different hosts fall
-// together now and then; with half of it shared out, a window of four seconds
-// exceeds one and a half times the limit by chance less often than once in a
-// hundred thousand.
+// The part of a limit that hosts share out: draws of different hosts fall
+// together now and then.
 constexpr double kSharedOut = 0.5;
 // Requests a second that all hosts together send at least. An endpoint that
 // takes none at all would never be asked again, and nobody would learn that its
--- a/policy/endpoint_signals.h
+++ b/policy/endpoint_signals.h
@@ -12,9 +12,9 @@
 struct EndpointSignals {
   // Requests a second that it takes from all hosts together; null where the
   // answer states no limit.
-  std::optional<double> rate_limit;
+  std::optional<double> rate_limit = std::nullopt;
   // It wants no request from this host for so long.
-  std::optional<Duration> rest;
+  std::optional<Duration> rest = std::nullopt;
   // It is leaving: no further call, and only another process comes back.
   bool leaving = false;
 
--- a/policy/execution_profile.h
+++ b/policy/execution_profile.h
@@ -12,10 +12,9 @@
 // one begins.
 //
 // The load that it answers: many servers work at their pace until they are
-// nearly full and then slow down for good, each further call the more. With
-// three slots the third call took 1.7 times as long as the second; a balancer
-// that counted on 1.15 filled the near endpoints up while others, a
-// millisecond away, had one call.
+// nearly full and then slow down for good, each further call the more. A
+// balancer that takes the slowdown for smaller fills the near endpoints up
+// while others, a millisecond away, have one call.
 class ExecutionProfile {
  public:
   // Before the first answer an execution is taken for this long.
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -11,8 +11,8 @@
 
 // Bounds of Retry-After. The shorter one is the time in which a slow server may
 // become a fast one, or a slot free, at the host that the caller meets next.
-// Not spread at random: callers come back to other hosts, and 15 ms more on
-// average had 0.3 and 0.5% fewer of them served in bursts.
+// Not spread at random: callers come back to other hosts, and a longer wait on
+// average has fewer of them served.
 constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(15);
 constexpr Duration kLongestRetryAfter = std::chrono::seconds(1);
 
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -25,8 +25,8 @@
 constexpr Duration kSettling = std::chrono::seconds(5);
 // One that has joined and was never measured is looked at before others: left
 // out of the first look it would get no calls while the others suffice. Only by
-// hosts that will turn to it later: 124 hosts that each looked at 20 that had
-// joined opened 2,500 connections for it.
+// hosts that will turn to it later, so that not each host opens a connection to
+// each endpoint that joins.
 constexpr double kNewLook = 0.3;
 // One on trial is for calls that find nothing better.
 constexpr double kTrialCost = 2;
--- a/policy/measured_options.h
+++ b/policy/measured_options.h
@@ -38,8 +38,8 @@
   std::size_t first_probes = 2;
   std::size_t further_probes = 6;
   // With fresh reports of so many a call that is on time at the best of them
-  // goes there: where most are cold or slow, a look at all others cost 40
-  // probes and 30 ms for one call.
+  // goes there: where most are cold or slow, a look at all others takes longer
+  // than it gains.
   std::size_t enough = 15;
   // Probes of one endpoint a second that all hosts together may send. Each host
   // has its part by the size of the fleet; `probe_part` leaves room for the
--- a/policy/probe_planner.cc
+++ b/policy/probe_planner.cc
@@ -37,9 +37,8 @@
       [&](EndpointIndex it) { return endpoints_.IsFresh(it, now); }));
 }
 
-// A host that had just started, or was slow, had 30 endpoints of all zones
-// probed for one call, 8 ms after each other, while the answers to the first
-// ones stood unread.
+// A host that has just started, or is slow, would have endpoints of all zones
+// probed for one call while the answers of the first ones stand unread.
 Duration ProbePlanner::Patience(TimePoint now) const {
   const auto overdue =
       std::ranges::count_if(endpoints_.usable(), [&](EndpointIndex it) {
--- a/policy/report_trust.cc
+++ b/policy/report_trust.cc
@@ -9,8 +9,8 @@
 // What one more pair counts: under a second's worth of reports at a service
 // that is in use, and enough of them to tell a fifth from chance.
 constexpr double kSampleWeight = 1.0 / 128;
-// In the simulation at 85%, 99 readings in 100 lie below 0.1 with fresh reports
-// and above 0.26 with those renewed every 50 ms.
+// Between what fresh reports show at a busy service and what ones that are
+// renewed a few times a second show.
 constexpr double kMostRepeated = 0.2;
 // Where nearly all endpoints report alike, as in an idle service, a chance
 // difference must not be divided by next to nothing.
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -8,7 +8,9 @@
 
 #include "policy/call_outcome.h"
 #include "policy/target_choice.h"
+#include "proxy/call_holds.h"
 #include "proxy/call_terms.h"
+#include "proxy/claim_answers.h"
 #include "proxy/header_rewrite.h"
 #include "proxy/request_check.h"
 #include "proxy/request_digest.h"
@@ -55,35 +57,6 @@
   return is_late ? FailureKind::kDeadline : KindOf(ForOutcome(sent));
 }
 
-FailureKind KindOf(ClaimVerdict verdict) {
-  switch (verdict) {
-    case ClaimVerdict::kAlreadyRan:
-      return FailureKind::kKeyAlreadyRan;
-    case ClaimVerdict::kInProgress:
-      return FailureKind::kKeyInProgress;
-    case ClaimVerdict::kMismatch:
-      return FailureKind::kKeyReused;
-    default:
-      return FailureKind::kClaimUnavailable;
-  }
-}
-
-HttpResponse AnswerFrom(const KeptAnswer& kept) {
-  HttpResponse answer(static_cast<http::status>(kept.status), 11);
-  answer.set(http::field::content_type, kept.content_type);
-  answer.body() = kept.body;
-  return answer;
-}
-
-std::optional<KeptAnswer> KeptFrom(const std::optional<HttpResponse>& answer) {
-  if (!answer) {
-    return std::nullopt;
-  }
-  return KeptAnswer{static_cast<int>(answer->result_int()),
-                    std::string((*answer)[http::field::content_type]),
-                    answer->body()};
-}
-
 // The path that the contract's rules go by. Starts with '/', also where the
 // path is the service's prefix itself.
 std::string PathBelow(std::string_view prefix, std::string_view path) {
@@ -91,35 +64,6 @@
   return rest.starts_with('/') ? std::string(rest) : "/" + std::string(rest);
 }
 
-// A place among the calls in flight, also where the coroutine is destroyed.
-class InFlight {
- public:
-  explicit InFlight(std::atomic<std::int64_t>& count) : count_(count) {
-    ++count_;
-  }
-  ~InFlight() { --count_; }
-  InFlight(const InFlight&) = delete;
-  InFlight& operator=(const InFlight&) = delete;
-
- private:
-  std::atomic<std::int64_t>& count_;
-};
-
-// An admission under the customer's limits. One that is not given back would
-// make the limit smaller for ever.
-class LimitHold {
- public:
-  LimitHold(LimitGate& gate, CustomerId customer)
-      : gate_(gate), customer_(std::move(customer)) {}
-  ~LimitHold() { gate_.Leave(customer_, Clock::now()); }
-  LimitHold(const LimitHold&) = delete;
-  LimitHold& operator=(const LimitHold&) = delete;
-
- private:
-  LimitGate& gate_;
-  const CustomerId customer_;
-};
-
 }  // namespace
 
 struct CallHandler::Ending {
@@ -198,8 +142,8 @@
 
 // False where this host does not get to know in time what is in force. A caller
 // that is refused by a starting host has used up its retry: after a loss of
-// power of a whole fleet with a large route book, hosts refused all calls for
-// 0.6 s although they could have served them a moment later.
+// power of a whole fleet with a large route book, hosts would refuse calls that
+// they can serve a moment later.
 asio::awaitable<bool> CallHandler::AwaitCurrent(const HttpRequest& request) {
   const TimePoint until =
       std::min(state_.current_by(),
--- /dev/null
+++ b/proxy/claim_answers.cc
@@ -0,0 +1,36 @@
+#include "proxy/claim_answers.h"
+
+#include <string>
+
+namespace damasktack {
+
+FailureKind KindOf(ClaimVerdict verdict) {
+  switch (verdict) {
+    case ClaimVerdict::kAlreadyRan:
+      return FailureKind::kKeyAlreadyRan;
+    case ClaimVerdict::kInProgress:
+      return FailureKind::kKeyInProgress;
+    case ClaimVerdict::kMismatch:
+      return FailureKind::kKeyReused;
+    default:
+      return FailureKind::kClaimUnavailable;
+  }
+}
+
+HttpResponse AnswerFrom(const KeptAnswer& kept) {
+  HttpResponse answer(static_cast<http::status>(kept.status), 11);
+  answer.set(http::field::content_type, kept.content_type);
+  answer.body() = kept.body;
+  return answer;
+}
+
+std::optional<KeptAnswer> KeptFrom(const std::optional<HttpResponse>& answer) {
+  if (!answer) {
+    return std::nullopt;
+  }
+  return KeptAnswer{static_cast<int>(answer->result_int()),
+                    std::string((*answer)[http::field::content_type]),
+                    answer->body()};
+}
+
+}  // namespace damasktack
