Endpoints with a rate limit get the calls that they take

Cause: the balancer that measures turned to a limited endpoint only where it came out best, and others are as free at any time; so its windows passed unused, and nobody heard that its limit was gone. Change: in its window it goes first, unless it is known to be slow or full. The sum over hosts stays what it was.

--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -135,6 +135,13 @@
          cold_.MayTakeOne(look, usual_time(), now);
 }
 
+// Others are as free at any time, so that without this it would hardly be asked
+// and nobody would learn that its limit is gone.
+bool MeasuredEndpoints::IsDue(const MeasuredCandidate& candidate) const {
+  return restraints_.rate_limit(candidate.index) && candidate.HasFreeSlot() &&
+         candidate.pace <= options_.good_pace;
+}
+
 std::optional<TimePoint> MeasuredEndpoints::OpensAt(const WaitingCall& call,
                                                     TimePoint now,
                                                     TimePoint latest) const {
@@ -235,10 +242,14 @@
     if (is_avoided || !IsAllowed(call, index)) {
       continue;
     }
-    const MeasuredCandidate it = Weigh(index, now);
+    MeasuredCandidate it = Weigh(index, now);
     if ((among == Among::kFresh && !it.is_fresh) || !MayTakeOne(it, now)) {
       continue;
     }
+    if (IsDue(it)) {
+      it.is_good = true;
+      return it;
+    }
     const bool is_better =
         !best || (it.is_good && !best->is_good) ||
         (it.is_good == best->is_good && it.cost < best->cost);
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -146,6 +146,9 @@
   // Whether the call may be worked on in the endpoint's region.
   bool IsAllowed(const WaitingCall& call, EndpointIndex index) const;
   bool MayTakeOne(const MeasuredCandidate& candidate, TimePoint now) const;
+  // Whether it has a limit that lets a call through now, and is not known to be
+  // slow or full.
+  bool IsDue(const MeasuredCandidate& candidate) const;
   void DrawPreference();
   double PaceOf(EndpointIndex index, TimePoint now) const;
   double CallsAt(EndpointIndex index, TimePoint now) const;
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -172,6 +172,27 @@
   CHECK(harness.Offer(MakeCall(++token, harness.now)).dispatches.size() == 1);
 }
 
+// Guards against a limit that stands long after its end, because nobody asks an
+// endpoint that others make needless.
+TEST_CASE("an endpoint with a limit gets what it takes while others are free") {
+  constexpr EndpointIndex kFar = 1;
+  Harness harness(2);
+  int to_limited = 0;
+  for (CallToken token = 1; token <= 400; ++token) {
+    harness.balancer.OnSignals(kFar, {.rate_limit = 1}, harness.now,
+                               harness.now);
+    const CallOffer call = MakeCall(token, harness.now);
+    Decisions out = harness.Offer(call);
+    REQUIRE(out.dispatches.size() == 1);
+    to_limited += out.dispatches[0].endpoint == kFar ? 1 : 0;
+    harness.End(call, out.dispatches[0].endpoint, SendResult::kAnswered, out);
+    harness.now += milliseconds(50);
+  }
+  // Half of the limit is shared out: ten calls in twenty seconds on average.
+  CHECK(to_limited >= 4);
+  CHECK(to_limited <= 20);
+}
+
 TEST_CASE("calls go to endpoints without a limit") {
   constexpr int kEndpoints = 8;
   Harness harness(kEndpoints);
--- a/tests/policy/test_service_balancer.cc
+++ b/tests/policy/test_service_balancer.cc
@@ -197,6 +197,30 @@
   CHECK(out.rejections[0].refusal == Refusal::kNoEndpoint);
 }
 
+// Guards against a limit that stands long after its end, because nobody asks an
+// endpoint that others make needless.
+TEST_CASE("an endpoint with a limit gets what it takes while others are free") {
+  constexpr EndpointIndex kLimited = 3;
+  ServiceBalancer balancer(BalancerOptions(), 3);
+  balancer.SetService(Service(4, 8), 1, kStart);
+  int to_limited = 0;
+  TimePoint now = kStart;
+  for (CallToken token = 1; token <= 400; ++token) {
+    balancer.OnSignals(kLimited, {.rate_limit = 1}, now, now);
+    const CallOffer call = OfferOf(token, Urgency::kNormal, now);
+    Decisions out;
+    balancer.Offer(call, now, out);
+    REQUIRE(out.dispatches.size() == 1);
+    to_limited += out.dispatches[0].endpoint == kLimited ? 1 : 0;
+    balancer.Finish(call, EndOf(out.dispatches[0], SendResult::kAnswered), now,
+                    out);
+    now += milliseconds(50);
+  }
+  // Half of the limit is shared out: ten calls in twenty seconds on average.
+  CHECK(to_limited >= 4);
+  CHECK(to_limited <= 20);
+}
+
 TEST_CASE("of several endpoints the one without a limit gets the calls") {
   ServiceBalancer balancer(BalancerOptions(), 3);
   balancer.SetService(Service(2, 8), 400, kStart);
--- a/tests/soak/soak_endpoint.cc
+++ b/tests/soak/soak_endpoint.cc
@@ -56,6 +56,7 @@
 void SoakEndpoint::BecomeNew(const std::string& id) {
   const std::lock_guard lock(mutex_);
   id_ = id;
+  is_leaving_ = false;
 }
 
 std::string SoakEndpoint::Load() const {
@@ -63,6 +64,15 @@
          std::to_string(100 * slowdown_);
 }
 
+void SoakEndpoint::SayWishes(httplib::Response& res) const {
+  if (rate_limit_ > 0) {
+    res.set_header("X-Damasktack-Server-Limit", std::to_string(rate_limit_));
+  }
+  if (is_leaving_) {
+    res.set_header("X-Damasktack-Server-Leaving", "1");
+  }
+}
+
 void SoakEndpoint::Serve(const httplib::Request& req, httplib::Response& res) {
   const std::string call = req.get_header_value(kCall);
   res.set_header(kCall, call);
@@ -75,12 +85,17 @@
     refuse(421);
     return;
   }
+  ++arrivals_;
+  SayWishes(res);
   ledger_.Arrived(call);
   if (is_forbidden_) {
     ledger_.Violation(call + ": reached " + id() + " after it had left");
   }
   if (is_full_ || running_ >= kSlots) {
     refuse(503);
+    if (rest_seconds_ > 0) {
+      res.set_header("Retry-After", std::to_string(rest_seconds_));
+    }
     return;
   }
   ++running_;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -19,6 +19,12 @@
 // From when on the promises with a time bound hold again, and that bound.
 constexpr Duration kUntilWell = milliseconds(4500);
 constexpr Duration kInForce = milliseconds(2000);
+// A stated rate limit, when it is in force at all hosts, and what may come
+// within the time in which it is looked at.
+constexpr int kRateLimit = 1;
+constexpr Duration kUntilLimited = seconds(3);
+constexpr seconds kLimitedFor(4);
+constexpr double kMostLimited = 1.5 * kRateLimit * kLimitedFor.count() + 5;
 // Of the calls of a calm second; a busy machine delays some.
 constexpr double kLeastServed = 0.9;
 // Endpoints that one request may end in a calm: three show what it does, and
@@ -118,7 +124,7 @@
 
 void SoakRun::BeginEndpointFault() {
   const int n = Draw(fleet_.endpoints());
-  switch (Draw(3)) {
+  switch (Draw(4)) {
     case 0:
       fleet_.endpoint(n).SetFull(true);
       HealAfter([this, n] { fleet_.endpoint(n).SetFull(false); });
@@ -127,6 +133,9 @@
       fleet_.endpoint(n).SetSlowdown(2 + Draw(10));
       HealAfter([this, n] { fleet_.endpoint(n).SetSlowdown(1); });
       break;
+    case 2:
+      BeginEndpointWish(n);
+      break;
     default:
       fleet_.Drain(n);
       HealAfter([this, n] {
@@ -136,6 +145,31 @@
   }
 }
 
+void SoakRun::BeginEndpointWish(int n) {
+  SoakEndpoint& endpoint = fleet_.endpoint(n);
+  switch (Draw(3)) {
+    case 0:
+      endpoint.SetRateLimit(1 + Draw(3));
+      HealAfter([&endpoint] { endpoint.SetRateLimit(0); });
+      break;
+    case 1:
+      endpoint.SetRest(1 + Draw(2));
+      endpoint.SetFull(true);
+      HealAfter([&endpoint] {
+        endpoint.SetFull(false);
+        endpoint.SetRest(0);
+      });
+      break;
+    default:
+      endpoint.SayLeaving();
+      fleet_.Drain(n);
+      HealAfter([this, n] {
+        fleet_.Remove(n);
+        fleet_.Renew(n);
+      });
+  }
+}
+
 void SoakRun::BeginZoneDrain() {
   const int zone = Draw(SoakFleet::kZones);
   fleet_.DrainZone(zone);
@@ -219,6 +253,20 @@
   fleet_.endpoint(leaving).ForbidArrivals(false);
 }
 
+void SoakRun::CheckStatedLimit() {
+  SoakEndpoint& endpoint = fleet_.endpoint(Draw(fleet_.endpoints()));
+  endpoint.SetRateLimit(kRateLimit);
+  Pass(kUntilLimited);
+  const int before = endpoint.arrivals();
+  Pass(kLimitedFor);
+  const int arrivals = endpoint.arrivals() - before;
+  if (arrivals > kMostLimited) {
+    ledger_.Violation(endpoint.id() + ": stated a limit and got " +
+                      std::to_string(arrivals) + " requests");
+  }
+  endpoint.SetRateLimit(0);
+}
+
 void SoakRun::ForbidArrivals(int zone, bool forbidden) {
   for (int n = 0; n < fleet_.endpoints(); ++n) {
     if (SoakFleet::ZoneOf(n) == zone) {
@@ -273,6 +321,7 @@
     callers.TakeCount();
     const int crashes = fleet_.crashes();
     CheckVersionInForce();
+    CheckStatedLimit();
     CheckLeaving();
     CheckDrainedZone();
     CheckCrashing(crashes);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -48,6 +48,7 @@
   void BeginHostFault();
   void BeginStoreFault();
   void BeginEndpointFault();
+  void BeginEndpointWish(int n);
   void BeginZoneDrain();
   void BeginChange();
   void HealAfter(std::function<void()> action);
@@ -58,6 +59,7 @@
   void CheckCalm();
   void CheckVersionInForce();
   void CheckLeaving();
+  void CheckStatedLimit();
   void CheckDrainedZone();
   void ForbidArrivals(int zone, bool forbidden);
   // `before` endpoints had ended when the calm began.
