A stated limit beyond all measure no longer ends the host

An endpoint that states a limit of 1e300 requests a second cut the window into pieces of no length, and each host that heard of it divided by zero: SIGFPE. Peers besides refused a whole report in which one rate was above theirs.

Change: SharedRate cuts a window into a million pieces at most, so that a larger share is no bound; a report tells the highest rate that peers take in place of a higher one.

--- a/fleet/endpoint_rate_messages.cc
+++ b/fleet/endpoint_rate_messages.cc
@@ -1,6 +1,6 @@
 #include "fleet/endpoint_rate_messages.h"
 
-#include <cmath>
+#include <algorithm>
 #include <utility>
 
 #include "fleet/message_json.h"
@@ -25,7 +25,7 @@
 Json EndpointRateReport::Statement::ToJson() const {
   return Json{{"endpoint", endpoint.id.text()},
               {"started_at_ms", endpoint.started_at.time_since_epoch().count()},
-              {"rate", rate_limit.value_or(kNoRate)},
+              {"rate", std::min(rate_limit.value_or(kNoRate), kHighestRate)},
               {"age_us", ToMicroseconds(age)}};
 }
 
--- a/policy/shared_rate.cc
+++ b/policy/shared_rate.cc
@@ -10,8 +10,15 @@
 
 namespace damasktack {
 
+namespace {
+
+// Pieces of a window at most: shorter ones would have no length.
+constexpr double kMostPieces = 1e6;
+
+}  // namespace
+
 SharedRate::Piece SharedRate::PieceOf(double share) {
-  const double pieces = std::max(std::ceil(share), 1.0);
+  const double pieces = std::clamp(std::ceil(share), 1.0, kMostPieces);
   return {Scaled(kWindow, 1 / pieces), share / pieces};
 }
 
--- a/tests/fleet/test_endpoint_rate_exchange.cc
+++ b/tests/fleet/test_endpoint_rate_exchange.cc
@@ -209,6 +209,20 @@
   CHECK(rates.InForce().size() == EndpointRates::kMost);
 }
 
+// Guards against a report that peers refuse whole for one limit in it.
+TEST_CASE("a limit beyond all measure is told as the highest one") {
+  const std::string frame = EncodePeerMessage(
+      EndpointRateReport{{{kEndpoint, 1e300, milliseconds(1)}}});
+  const bool is_taken = Try(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_AUTO(message, DecodePeerMessage(frame));
+        const auto& report = std::get<EndpointRateReport>(*message);
+        return report.statements.at(0).rate_limit == 1e9;
+      },
+      [](const Error&) { return false; });
+  CHECK(is_taken);
+}
+
 TEST_CASE("reports on rates come back from their bytes as they were") {
   const bool ok = rc::check([] {
     EndpointRateReport report;
--- a/tests/policy/test_shared_rate.cc
+++ b/tests/policy/test_shared_rate.cc
@@ -33,6 +33,16 @@
   CHECK(ok);
 }
 
+// Guards against a host that ends because an endpoint states a limit without
+// measure.
+TEST_CASE("a share beyond all measure is no bound") {
+  SharedRate rate(7);
+  for (const double share : {1e9, 1e12, 1e300}) {
+    CHECK(rate.Allows(share, kStart));
+    CHECK(rate.NextAllowed(share, kStart, kStart + seconds(1)) == kStart);
+  }
+}
+
 // A caller that is told to come back earlier would be refused again.
 TEST_CASE("the next allowed moment is the first one at which it allows") {
   const bool ok = rc::check([] {
