Updates of any length go out in parts of bounded size

Cause, a bound that holds only while the fleet is small: a whole update is one frame, and a frame may hold 65,536 values (megabyte 1 of bytes next). At ten values an endpoint that ends at about 6,550 endpoints; the fleet has 5,998 and 6,816 after an ordinary scale-out. A host that starts while the store is away then gets a frame that it refuses, asks again, is sent it again, and has no routes until the store is back.

Change: updates of more than 1,000 entries go out in parts by ranges of endpoint ids. A follower takes each part as it comes and asks for the next, so one part at most is on its way to it. A part names what is gone within its range; parts confirm nothing, an update follows the last one. A kind of its own: an older daemon would take a part for all there is.

Ruled out: a larger bound (ends at the next size); fragments put together by the receiver; parts by revisions (cannot say what is gone); parts pushed at once (a list for each follower waits at the sender).

--- a/fleet/feed_options.h
+++ b/fleet/feed_options.h
@@ -1,6 +1,7 @@
 #ifndef FLEET_FEED_OPTIONS_H_
 #define FLEET_FEED_OPTIONS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -45,6 +46,12 @@
   // Between two hellos to a seed that this host follows.
   Duration hello = std::chrono::milliseconds(1500);
 
+  // An update with more entries of endpoints goes out in parts, so that no size
+  // of a fleet makes a frame that peers refuse or that holds up their calls.
+  std::size_t most_part_entries = 1000;
+  // A transfer in parts ends where nothing was heard of it for this long.
+  Duration part_patience = std::chrono::milliseconds(3000);
+
   // One watch waits this long; each answer confirms what the fleet knows.
   Duration watch = std::chrono::milliseconds(600);
   // Changes that come within this time cost one call together.
--- a/fleet/feed_peers.h
+++ b/fleet/feed_peers.h
@@ -13,6 +13,15 @@
 
 namespace damasktack {
 
+// An update that goes to or comes from a peer in parts.
+struct FeedTransfer {
+  // Where the update begins.
+  Revision after = 0;
+  TimePoint until;
+
+  bool IsUnderWay(TimePoint now) const { return now < until; }
+};
+
 // One host that this one is linked to.
 struct FeedPeer {
   std::optional<FeedHello> hello;
@@ -20,6 +29,8 @@
   // What was sent to it or heard from it.
   Revision sent = 0;
   TimePoint sent_confirmed;
+  FeedTransfer sending;
+  FeedTransfer receiving;
   // What it fed was confirmed then, and its last word of an outage came then.
   std::optional<TimePoint> fed_at;
   std::optional<TimePoint> outage_at;
--- a/fleet/peer_message.h
+++ b/fleet/peer_message.h
@@ -39,6 +39,8 @@
                                  ClaimSettled,
                                  FeedHello,
                                  FeedUpdate,
+                                 FeedPart,
+                                 FeedPartRequest,
                                  FeedOutage,
                                  CrashReport,
                                  EndpointRateReport>;
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -67,7 +67,7 @@
   void FindRank();
   bool IsSeed() const { return rank_ != FeedHello::kNoSeed; }
   // Whether what this host knows is news to the peer, and for this host to say.
-  bool HasNewsFor(const FeedPeer& peer) const;
+  bool HasNewsFor(const FeedPeer& peer, TimePoint now) const;
   // Whether the store told this host itself what it knows.
   bool IsReadingWell() const {
     return reads_store_ && is_synced_ && !lost_contact_;
@@ -91,12 +91,32 @@
 
   void Confirm(TimePoint at, std::uint64_t reader);
   bool IsAfterOutage(TimePoint now) const;
-  FeedUpdate UpdateAfter(Revision after, TimePoint now) const;
+  FeedUpdate MakeUpdate(Revision after,
+                        PublishedPart part,
+                        TimePoint now) const;
   // `to` have everything up to `after`.
   void SendUpdate(std::vector<HostId> to,
                   Revision after,
                   TimePoint now,
                   Outbox& out);
+  void SendNextPart(const HostId& host,
+                    const FeedPartRequest& request,
+                    TimePoint now,
+                    Outbox& out);
+  void TakeHello(const HostId& host,
+                 const FeedHello& hello,
+                 TimePoint now,
+                 Outbox& out);
+  // False where more has to be asked for before the changes mean anything.
+  bool TakeChanges(const HostId& host,
+                   const FeedUpdate& update,
+                   const EndpointRange& range,
+                   TimePoint now,
+                   Outbox& out);
+  void TakePart(const HostId& host,
+                const FeedPart& part,
+                TimePoint now,
+                Outbox& out);
   void Take(const HostId& host,
             const FeedUpdate& update,
             TimePoint now,
--- a/fleet/published_messages.cc
+++ b/fleet/published_messages.cc
@@ -180,6 +180,44 @@
   return update;
 }
 
+Json FeedPart::ToJson() const {
+  return Json{{"update", update.ToJson()},
+              {"begin", range.begin.text()},
+              {"end", range.end.text()}};
+}
+
+leaf::result<FeedPart> FeedPart::Parse(const Json& json,
+                                       const std::string& path) {
+  FeedPart part;
+  std::string begin;
+  std::string end;
+  JsonReader reader(json, path);
+  const Json* update = reader.Object("update");
+  reader.ReadOptional("begin", begin);
+  reader.ReadOptional("end", end);
+  BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
+  BOOST_LEAF_ASSIGN(part.update, FeedUpdate::Parse(*update, path));
+  part.range = {EndpointId(std::move(begin)), EndpointId(std::move(end))};
+  return part;
+}
+
+Json FeedPartRequest::ToJson() const {
+  return Json{{"after", after}, {"current", current}, {"begin", begin.text()}};
+}
+
+leaf::result<FeedPartRequest> FeedPartRequest::Parse(const Json& json,
+                                                     const std::string& path) {
+  FeedPartRequest request;
+  std::string begin;
+  JsonReader reader(json, path);
+  reader.Read("after", request.after);
+  reader.Read("current", request.current);
+  reader.Read("begin", begin);
+  BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
+  request.begin = EndpointId(std::move(begin));
+  return request;
+}
+
 Json FeedOutage::ToJson() const {
   return Json{{"hosts", hosts}};
 }
--- a/fleet/published_messages.h
+++ b/fleet/published_messages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/json_reader.h"
+#include "fleet/published_part.h"
 #include "fleet/published_source.h"
 
 namespace damasktack {
@@ -67,6 +68,40 @@
   bool operator==(const FeedUpdate&) const = default;
 };
 
+// A range of an update that is too large for one message. It confirms nothing:
+// an update follows the last one. Of a kind of its own, since a daemon that
+// knows no ranges would take it for all there is.
+struct FeedPart {
+  static constexpr std::string_view kKind = "feed-part";
+
+  FeedUpdate update;
+  EndpointRange range;
+
+  Json ToJson() const;
+  static leaf::result<FeedPart> Parse(const Json& json,
+                                      const std::string& path);
+
+  bool operator==(const FeedPart&) const = default;
+};
+
+// Asks for the part that follows one which the sender has taken. One part at a
+// time is on its way to a host, however long the whole update is.
+struct FeedPartRequest {
+  static constexpr std::string_view kKind = "feed-part-request";
+
+  // Of the part before: where its update begins and ends, and its last
+  // endpoint.
+  Revision after = 0;
+  Revision current = 0;
+  EndpointId begin;
+
+  Json ToJson() const;
+  static leaf::result<FeedPartRequest> Parse(const Json& json,
+                                             const std::string& path);
+
+  bool operator==(const FeedPartRequest&) const = default;
+};
+
 // The sender asks the store and gets no answer, or was told so. Without a word
 // a follower cannot tell such a seed from one that is dead, and asks the store
 // itself.
--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -1,6 +1,7 @@
 #include "fleet/published_view.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -32,6 +33,20 @@
   return a == b;
 }
 
+// A route is as large as two entries of endpoints.
+std::size_t WeightOfRoutes(const PublishedItems& items) {
+  constexpr std::size_t kEntriesOfRoute = 2;
+  std::size_t routes = 0;
+  for (const PublishedItem& it : items.items) {
+    if (const auto* book = std::get_if<RouteBook>(&it.value)) {
+      routes += book->routes.size();
+    } else if (const auto* step = std::get_if<RouteBookChange>(&it.value)) {
+      routes += step->changed.size() + step->removed.size();
+    }
+  }
+  return kEntriesOfRoute * routes;
+}
+
 TimePoint ColdUntil(const PublishedEndpoint& endpoint, TimePoint now) {
   return endpoint.cold_for > Duration::zero() ? now + endpoint.cold_for
                                               : TimePoint();
@@ -48,7 +63,8 @@
     Take(it, after_outage, now);
     TellAnew(it);
   }
-  Retain(present, all.current, after_outage, now);
+  Retain(present, {}, all.current, after_outage, now);
+  ReachWhole(all.current);
 }
 
 void PublishedView::TakeSome(const PublishedItems& some, TimePoint now) {
@@ -57,20 +73,39 @@
   }
 }
 
-void PublishedView::TakeAllBut(const PublishedItems& changes,
-                               const std::vector<EndpointId>& present,
-                               bool after_outage,
-                               TimePoint now) {
-  Present listed{{present.begin(), present.end()}, {}};
-  for (const PublishedItem& it : changes.items) {
+void PublishedView::TakePart(const PublishedPart& part,
+                             bool after_outage,
+                             TimePoint now) {
+  Present listed{{part.present.begin(), part.present.end()}, {}};
+  for (const PublishedItem& it : part.changes.items) {
     listed.Add(it.value);
     Take(it, after_outage, now);
-    TellAnew(it);
+    if (part.whole) {
+      TellAnew(it);
+    }
   }
+  // With the new revision this host would count as up to date, and its feeder
+  // would not send the book that it lacks.
   if (misses_book_) {
     return;
   }
-  Retain(listed, changes.current, after_outage, now);
+  if (part.whole) {
+    Retain(listed, part.range, part.changes.current, after_outage, now);
+  }
+  if (!part.range.IsLast()) {
+    return;
+  }
+  if (part.whole) {
+    ReachWhole(part.changes.current);
+  }
+  revision_ = std::max(revision_, part.changes.current);
+}
+
+void PublishedView::ReachWhole(Revision revision) {
+  revision_ = std::max(revision_, revision);
+  if (!complete_after_) {
+    complete_after_ = revision_;
+  }
 }
 
 // An endpoint may have been removed and published again as it was, unseen by
@@ -93,11 +128,14 @@
 }
 
 void PublishedView::Retain(const Present& present,
+                           const EndpointRange& range,
                            Revision current,
                            bool after_outage,
                            TimePoint now) {
   std::vector<EndpointId> missing;
-  for (const auto& [id, entry] : endpoints_) {
+  for (auto it = endpoints_.upper_bound(range.begin);
+       it != endpoints_.end() && range.Contains(it->first); ++it) {
+    const auto& [id, entry] = *it;
     if (!present.endpoints.contains(id) && entry.revision <= current) {
       missing.push_back(id);
     }
@@ -106,26 +144,16 @@
     Remember(it, current);
     Miss(it, after_outage, now);
   }
-  const bool has_ended = drained_zones_.Retain(present.drained, current);
-  changed_ = changed_ || has_ended;
-  revision_ = std::max(revision_, current);
-  if (!complete_after_) {
-    complete_after_ = revision_;
+  if (range.IsFirst()) {
+    const bool has_ended = drained_zones_.Retain(present.drained, current);
+    changed_ = changed_ || has_ended;
   }
 }
 
 void PublishedView::TakeChanges(const PublishedItems& changes,
                                 bool after_outage,
                                 TimePoint now) {
-  for (const PublishedItem& it : changes.items) {
-    Take(it, after_outage, now);
-  }
-  // With the new revision this host would count as up to date, and its feeder
-  // would not send the book that it lacks.
-  if (misses_book_) {
-    return;
-  }
-  revision_ = std::max(revision_, changes.current);
+  TakePart({{}, changes, false, {}}, after_outage, now);
 }
 
 void PublishedView::Take(const PublishedItem& item,
@@ -373,41 +401,92 @@
   return endpoints;
 }
 
-std::vector<EndpointId> PublishedView::UnchangedSince(Revision revision) const {
-  std::vector<EndpointId> ids;
-  for (const auto& [id, entry] : endpoints_) {
-    if (entry.told_revision <= revision && !entry.missing_since) {
-      ids.push_back(id);
-    }
-  }
-  return ids;
-}
-
 PublishedItems PublishedView::ChangesAfter(Revision after,
                                            TimePoint now) const {
-  PublishedItems changes;
-  changes.current = revision_;
-  AddRoutesAfter(after, changes);
-  drained_zones_.AddChangesAfter(after, changes);
-  for (const auto& [id, entry] : endpoints_) {
-    if (entry.told_revision <= after || entry.missing_since) {
-      continue;
+  PublishedPart all =
+      PartAfter(after, {}, std::numeric_limits<std::size_t>::max(), now);
+  return std::move(all.changes);
+}
+
+PublishedPart PublishedView::PartAfter(Revision after,
+                                       const EndpointId& begin,
+                                       std::size_t most_entries,
+                                       TimePoint now) const {
+  PublishedPart part;
+  part.range.begin = begin;
+  part.whole = !KnowsRemovalsAfter(after);
+  part.changes.current = revision_;
+  if (part.range.IsFirst()) {
+    AddAllButEndpoints(after, part);
+  }
+  const std::size_t most =
+      most_entries - std::min(most_entries, WeightOfRoutes(part.changes));
+  EndpointId last;
+  auto entry = endpoints_.upper_bound(begin);
+  auto removal = removed_.upper_bound(begin);
+  while (entry != endpoints_.end() || removal != removed_.end()) {
+    const bool is_full =
+        part.changes.items.size() + part.present.size() >= most;
+    if (is_full && !last.text().empty()) {
+      part.range.end = last;
+      break;
     }
-    PublishedEndpoint told = entry.endpoint;
-    told.cold_for =
-        std::max<Duration>(told.spec.cold_until - now, Duration::zero());
-    changes.items.push_back({entry.told_revision, std::move(told)});
-    // Each host waits by itself whether it stays.
-    if (entry.earlier_start) {
-      changes.items.push_back({entry.told_revision, *entry.earlier_start});
+    const bool has_removal =
+        removal != removed_.end() &&
+        (entry == endpoints_.end() || removal->first <= entry->first);
+    last = has_removal ? removal->first : entry->first;
+    if (has_removal) {
+      AddRemovalAfter(after, *removal, part);
+      ++removal;
+    }
+    if (entry != endpoints_.end() && entry->first == last) {
+      AddEntryAfter(after, entry->second, now, part);
+      ++entry;
     }
   }
-  for (const auto& [id, revision] : removed_) {
-    if (revision > after) {
-      changes.items.push_back({revision, RemovedEndpoint{id}});
+  return part;
+}
+
+void PublishedView::AddAllButEndpoints(Revision after,
+                                       PublishedPart& part) const {
+  AddRoutesAfter(after, part.changes);
+  drained_zones_.AddChangesAfter(after, part.changes);
+  if (part.whole) {
+    drained_zones_.AddInForceUpTo(after, part.changes);
+  }
+}
+
+void PublishedView::AddRemovalAfter(
+    Revision after,
+    const std::pair<const EndpointId, Revision>& removal,
+    PublishedPart& part) {
+  if (removal.second > after) {
+    part.changes.items.push_back(
+        {removal.second, RemovedEndpoint{removal.first}});
+  }
+}
+
+void PublishedView::AddEntryAfter(Revision after,
+                                  const Entry& entry,
+                                  TimePoint now,
+                                  PublishedPart& part) {
+  if (entry.missing_since) {
+    return;
+  }
+  if (entry.told_revision <= after) {
+    if (part.whole) {
+      part.present.push_back(entry.endpoint.spec.id);
     }
+    return;
+  }
+  PublishedEndpoint told = entry.endpoint;
+  told.cold_for =
+      std::max<Duration>(told.spec.cold_until - now, Duration::zero());
+  part.changes.items.push_back({entry.told_revision, std::move(told)});
+  // Each host waits by itself whether it stays.
+  if (entry.earlier_start) {
+    part.changes.items.push_back({entry.told_revision, *entry.earlier_start});
   }
-  return changes;
 }
 
 bool PublishedView::TakeMissesBook() {
--- a/fleet/published_view.h
+++ b/fleet/published_view.h
@@ -6,9 +6,11 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "fleet/drained_zones.h"
+#include "fleet/published_part.h"
 #include "fleet/published_source.h"
 
 namespace damasktack {
@@ -36,13 +38,10 @@
   void TakeAll(const PublishedItems& all, bool after_outage, TimePoint now);
   // Some of what is published; what is not in it may be so as well.
   void TakeSome(const PublishedItems& some, TimePoint now);
-  // Changes of a feeder that cannot name each removal before them: endpoints
-  // that are neither in them nor in `present` are removed as above. All drains
-  // of zones that are in force are in them.
-  void TakeAllBut(const PublishedItems& changes,
-                  const std::vector<EndpointId>& present,
-                  bool after_outage,
-                  TimePoint now);
+  // What a feeder tells. Where it is whole, endpoints that are missing are
+  // removed as above, and all drains of zones that are in force are in the
+  // first part. The last part brings this view up to its revision.
+  void TakePart(const PublishedPart& part, bool after_outage, TimePoint now);
   // Changes from a watch.
   void TakeChanges(const PublishedItems& changes,
                    bool after_outage,
@@ -56,12 +55,16 @@
   const std::shared_ptr<const RouteBook>& routes() const { return routes_; }
   std::vector<PublishedEndpoint> Endpoints() const;
   const DrainedZones& drained_zones() const { return drained_zones_; }
-  // Endpoints that peers which know everything up to a revision have as they
-  // are.
-  std::vector<EndpointId> UnchangedSince(Revision revision) const;
   Revision revision() const { return revision_; }
   // What has changed after a revision; all of it after 0.
   PublishedItems ChangesAfter(Revision after, TimePoint now) const;
+  // What peers that know everything up to `after` have to hear, from the
+  // endpoints after `begin` on: about `most_entries` entries of endpoints,
+  // `present` ones and removals included, and one at least.
+  PublishedPart PartAfter(Revision after,
+                          const EndpointId& begin,
+                          std::size_t most_entries,
+                          TimePoint now) const;
   // Whether these changes name every removal. A view that began later does not
   // know what was removed before.
   bool KnowsRemovalsAfter(Revision after) const {
@@ -101,13 +104,25 @@
     void Add(const PublishedValue& value);
   };
   void Retain(const Present& present,
+              const EndpointRange& range,
               Revision current,
               bool after_outage,
               TimePoint now);
+  // Everything up to a revision has come.
+  void ReachWhole(Revision revision);
   void TakeRoutes(const RouteBook& book, Revision revision);
   void TakeRoutesChange(const RouteBookChange& change, Revision revision);
   void RememberStep(const RouteBook& book, Revision revision);
   void AddRoutesAfter(Revision after, PublishedItems& out) const;
+  void AddAllButEndpoints(Revision after, PublishedPart& part) const;
+  static void AddRemovalAfter(
+      Revision after,
+      const std::pair<const EndpointId, Revision>& removal,
+      PublishedPart& part);
+  static void AddEntryAfter(Revision after,
+                            const Entry& entry,
+                            TimePoint now,
+                            PublishedPart& part);
   void TakeEndpoint(const PublishedEndpoint& endpoint,
                     Revision revision,
                     TimePoint now);
--- a/tests/fleet/feed_world.h
+++ b/tests/fleet/feed_world.h
@@ -2,6 +2,7 @@
 #define TESTS_FLEET_FEED_WORLD_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <memory>
@@ -11,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "fleet/peer_codec.h"
 #include "fleet/published_feed.h"
 
 namespace damasktack {
@@ -40,8 +42,14 @@
   };
 
   // With `early_read` hosts read any copy of the store when they start.
-  FeedWorld(int hosts, int seeds, bool early_read = false)
-      : seeds_(seeds), early_read_(early_read) {
+  FeedWorld(
+      int hosts,
+      int seeds,
+      bool early_read = false,
+      std::size_t most_part_entries = PublishedFeedOptions().most_part_entries)
+      : seeds_(seeds),
+        early_read_(early_read),
+        most_part_entries_(most_part_entries) {
     for (int n = 0; n < hosts; ++n) {
       hosts_["h" + std::to_string(n)];
     }
@@ -58,6 +66,7 @@
     route.host = "a.example";
     route.prefix = "/" + std::to_string(version) + "/";
     route.targets = {{ServiceId("s"), 1}};
+    route.contract.customer = CustomerId("r");
     book_.services = {{ServiceId("s"), "/health", 250}};
     book_.routes.push_back(route);
     if (book_.routes.size() > kMostRoutes) {
@@ -73,6 +82,9 @@
     }
     PublishedEndpoint endpoint;
     endpoint.spec.id = EndpointId(id);
+    endpoint.spec.address = {"10.1.0.1", 80};
+    endpoint.spec.zone = ZoneId("z");
+    endpoint.service = ServiceId("s");
     endpoint.cold_for = kColdTime;
     endpoints_[id] = {++revision_, endpoint};
     added_at_[id] = now_;
@@ -124,6 +136,7 @@
     options.self = HostId(name);
     options.address = AddressOf(name);
     options.early_read = early_read_;
+    options.most_part_entries = most_part_entries_;
     for (int n = 0; n < seeds_; ++n) {
       options.seeds.push_back(AddressOf("h" + std::to_string(n)));
     }
@@ -151,6 +164,13 @@
     }
   }
 
+  // From now on frames are encoded and decoded on their way; one that is
+  // refused is lost.
+  void UseCodec() { uses_codec_ = true; }
+  std::uint64_t frames_refused() const { return frames_refused_; }
+  // In bytes, of those that were encoded.
+  std::size_t largest_frame() const { return largest_frame_; }
+
   std::map<std::string, Host>& hosts() { return hosts_; }
   TimePoint now() const { return now_; }
   std::uint64_t store_calls() const { return store_calls_; }
@@ -364,12 +384,30 @@
       if (hosts_.at(from).links.contains(it.to.text())) {
         CountBooks(it.message);
         frames_.push_back({from, it.to.text(), std::move(it.message)});
+        if (uses_codec_ && !PassThroughCodec(frames_.back().message)) {
+          frames_.pop_back();
+        }
       }
     }
   }
 
+  bool PassThroughCodec(PeerMessage& message) {
+    const std::string frame = EncodePeerMessage(message);
+    largest_frame_ = std::max(largest_frame_, frame.size());
+    const std::optional<Error> fault = FaultOf([&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(decoded, DecodePeerMessage(frame));
+      message = std::move(*decoded);
+      return {};
+    });
+    frames_refused_ += fault ? 1 : 0;
+    return !fault;
+  }
+
   void CountBooks(const PeerMessage& message) {
     const auto* update = std::get_if<FeedUpdate>(&message);
+    if (const auto* part = std::get_if<FeedPart>(&message)) {
+      update = &part->update;
+    }
     if (update == nullptr) {
       return;
     }
@@ -390,6 +428,10 @@
 
   const int seeds_;
   const bool early_read_;
+  const std::size_t most_part_entries_;
+  bool uses_codec_ = false;
+  std::uint64_t frames_refused_ = 0;
+  std::size_t largest_frame_ = 0;
   TimePoint now_{std::chrono::hours(1)};
   std::map<std::string, Host> hosts_;
   std::deque<Frame> frames_;
--- a/tests/fleet/test_drained_zones.cc
+++ b/tests/fleet/test_drained_zones.cc
@@ -58,7 +58,7 @@
   follower.TakeChanges(Drain(5, true), false, kStart);
   follower.TakeChanges({{{6, ZoneDrain{ZoneId("gone"), true}}}, 6}, false,
                        kStart);
-  follower.TakeAllBut(update, {}, false, kStart);
+  follower.TakePart({{}, update, true, {}}, false, kStart);
   CHECK(InForce(follower) == kZone);
 }
 
--- a/tests/fleet/test_published_feed.cc
+++ b/tests/fleet/test_published_feed.cc
@@ -587,7 +587,9 @@
 TEST_CASE("generated schedules: in force in time, never back") {
   spdlog::set_level(spdlog::level::off);
   CHECK(rc::check("feeds", [] {
-    FeedWorld world(7, 3);
+    // In parts of one entry, of a few, and whole.
+    const auto part_entries = *rc::gen::element<std::size_t>(1, 3, 1000);
+    FeedWorld world(7, 3, false, part_entries);
     for (int n = 0; n < 4; ++n) {
       world.AddEndpoint("e" + std::to_string(n));
     }
