Of too many removals the oldest are forgotten, not all

Cause, a bound that holds only while the fleet is small: a view remembers 4,096 removals and forgot all of them at the next one.

Change: the oldest removal makes room. Only a follower that lags behind what is left hears of all by id.

Ruled out: a larger bound.

The new test fails at the 4,097th of 9,999 removals before, and holds after: each update to a host that is up to date has one item.

--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -209,13 +209,22 @@
   }
 }
 
+// Forgetting all at once would have each follower told of every endpoint as
+// soon as more have left than are remembered.
 void PublishedView::Remember(const EndpointId& removed, Revision revision) {
-  if (removed_.size() >= kMostRemoved) {
-    removed_.clear();
-    complete_after_ = std::max(revision_, revision);
-  }
   Revision& known = removed_[removed];
+  removal_order_.erase({known, removed});
   known = std::max(known, revision);
+  removal_order_.insert({known, removed});
+  if (removed_.size() <= kMostRemoved) {
+    return;
+  }
+  const auto oldest = removal_order_.begin();
+  if (complete_after_) {
+    complete_after_ = std::max(*complete_after_, oldest->first);
+  }
+  removed_.erase(oldest->second);
+  removal_order_.erase(oldest);
 }
 
 void PublishedView::TakeRoutes(const RouteBook& book, Revision revision) {
--- a/fleet/published_view.h
+++ b/fleet/published_view.h
@@ -151,8 +151,10 @@
   bool misses_book_ = false;
   std::map<EndpointId, Entry> endpoints_;
   // Removed endpoints by the revision of their removal, so that an older read
-  // does not bring them back.
+  // does not bring them back; and in the order of their removal, for the oldest
+  // to be forgotten first.
   std::map<EndpointId, Revision> removed_;
+  std::set<std::pair<Revision, EndpointId>> removal_order_;
   // From which revision on `removed_` names all removals.
   std::optional<Revision> complete_after_;
   DrainedZones drained_zones_;
--- a/tests/fleet/test_published_view.cc
+++ b/tests/fleet/test_published_view.cc
@@ -260,5 +260,31 @@
   }));
 }
 
+// Guards against every host being told of every endpoint while a large service
+// is replaced: all removals were forgotten as soon as there were too many.
+TEST_CASE("hosts that are up to date hear of changes however many have left") {
+  constexpr Revision kEndpoints = 10'000;
+  PublishedItems all;
+  for (Revision n = 1; n <= kEndpoints; ++n) {
+    PublishedEndpoint endpoint = MakeEndpoint(100);
+    endpoint.spec.id = EndpointId("e" + std::to_string(n));
+    all.items.push_back({n, endpoint});
+  }
+  all.current = kEndpoints;
+  PublishedView view;
+  view.TakeAll(all, false, kStart);
+  for (Revision n = 1; n < kEndpoints; ++n) {
+    const RemovedEndpoint removed{EndpointId("e" + std::to_string(n))};
+    view.TakeChanges(Single(kEndpoints + n, removed), false, kStart);
+    const PublishedPart part =
+        view.PartAfter(kEndpoints + n - 1, {}, 10, kStart);
+    REQUIRE_FALSE(part.whole);
+    REQUIRE(part.changes.items.size() == 1);
+  }
+  // One that lags behind what is remembered hears what is left.
+  const PublishedPart part = view.PartAfter(kEndpoints, {}, 10, kStart);
+  CHECK(part.whole);
+}
+
 }  // namespace
 }  // namespace damasktack
