Taking in a list costs by its length, not by its square

Cause, a cost that grows faster than the fleet: for each endpoint of a list the roster searched all records for a free place, counted all usable ones anew (three times for a first list) and counted the states of all; and the specs of all were searched for an id that had stood there before. A host that starts with 2,671 endpoints of one service spent most of its first second on a tenth of a core on this, all hosts at once after a common loss of power.

Change: states are counted as they change, places of those that are gone are kept in order, ids that are listed no more in a set, and the usable ones are counted when they are next asked for.

Ruled out: batches around each list, which every caller would have to know.

--- a/bench/decision_time_bench.cc
+++ b/bench/decision_time_bench.cc
@@ -150,6 +150,23 @@
     ->Arg(300)
     ->Arg(3000);
 
+// What a host that starts spends on its first list.
+void BM_FirstList(benchmark::State& state) {
+  const ServiceSpec service = MakeService(static_cast<int>(state.range(0)));
+  const TimePoint now(std::chrono::seconds(2));
+  for (auto _ : state) {
+    MeasuredBalancer balancer(MeasuredBalancerOptions{}, 1);
+    balancer.SetService(service, 100, now);
+    benchmark::DoNotOptimize(balancer.waiting());
+  }
+}
+BENCHMARK(BM_FirstList)
+    ->Name("first list")
+    ->Arg(300)
+    ->Arg(3000)
+    ->Arg(12000)
+    ->Unit(benchmark::kMillisecond);
+
 }  // namespace
 }  // namespace damasktack
 
--- a/policy/endpoint_roster.cc
+++ b/policy/endpoint_roster.cc
@@ -26,19 +26,24 @@
 
 }  // namespace
 
-EndpointIndex EndpointRoster::Add(bool taken_as_warm, TimePoint now) {
-  // The place of one that is gone is free once nothing can refer to it.
-  const auto free =
-      std::ranges::find_if(records_, [](const EndpointRecord& it) {
-        return it.state == EndpointState::kGone &&
-               it.estimate.own_in_flight() == 0 && !it.probe_pending;
-      });
-  const auto index = static_cast<EndpointIndex>(free - records_.begin());
-  if (free == records_.end()) {
+EndpointIndex EndpointRoster::TakePlace() {
+  const auto free = std::ranges::find_if(gone_, [&](EndpointIndex it) {
+    const EndpointRecord& record = records_[it];
+    return record.estimate.own_in_flight() == 0 && !record.probe_pending;
+  });
+  if (free == gone_.end()) {
     records_.emplace_back();
-  } else {
-    *free = EndpointRecord();
+    ++in_state_[static_cast<std::size_t>(records_.back().state)];
+    return static_cast<EndpointIndex>(records_.size() - 1);
   }
+  const EndpointIndex index = *free;
+  Move(index, EndpointRecord().state);
+  records_[index] = EndpointRecord();
+  return index;
+}
+
+EndpointIndex EndpointRoster::Add(bool taken_as_warm, TimePoint now) {
+  const EndpointIndex index = TakePlace();
   records_[index].state_since = now;
   if (taken_as_warm) {
     Follow(index, EndpointEvent::kServes, "listed", now);
@@ -256,7 +261,7 @@
   if (is_out(record.state) || is_out(*next)) {
     changes_.push_back({index, record.state, *next, reason});
   }
-  record.state = *next;
+  Move(index, *next);
   record.state_since = now;
   record.reason = reason;
   if (record.state == EndpointState::kTrial) {
@@ -281,7 +286,23 @@
   return taken;
 }
 
-void EndpointRoster::Recount() {
+void EndpointRoster::Move(EndpointIndex index, EndpointState to) {
+  EndpointState& state = records_[index].state;
+  --in_state_[static_cast<std::size_t>(state)];
+  ++in_state_[static_cast<std::size_t>(to)];
+  if (to == EndpointState::kGone) {
+    gone_.insert(index);
+  } else if (state == EndpointState::kGone) {
+    gone_.erase(index);
+  }
+  state = to;
+}
+
+void EndpointRoster::RecountIfDue() const {
+  if (!std::exchange(is_recount_due_, false)) {
+    return;
+  }
+  ++recounts_;
   usable_.clear();
   usable_slots_ = 0;
   for (EndpointIndex n = 0; n < records_.size(); ++n) {
@@ -292,11 +313,6 @@
   }
 }
 
-std::size_t EndpointRoster::CountIn(EndpointState state) const {
-  return static_cast<std::size_t>(
-      std::ranges::count(records_, state, &EndpointRecord::state));
-}
-
 std::size_t EndpointRoster::CountLive() const {
   return records_.size() - CountIn(EndpointState::kDraining) -
          CountIn(EndpointState::kGone);
--- a/policy/endpoint_roster.h
+++ b/policy/endpoint_roster.h
@@ -1,6 +1,9 @@
 #ifndef POLICY_ENDPOINT_ROSTER_H_
 #define POLICY_ENDPOINT_ROSTER_H_
 
+#include <array>
+#include <cstdint>
+#include <set>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -41,11 +44,21 @@
   std::span<const EndpointRecord> records() const { return records_; }
   std::span<EndpointRecord> records() { return records_; }
   // Those that take calls.
-  std::span<const EndpointIndex> usable() const { return usable_; }
+  std::span<const EndpointIndex> usable() const {
+    RecountIfDue();
+    return usable_;
+  }
   // The slots of those, together.
-  double usable_slots() const { return usable_slots_; }
-  // After a record's slots have changed.
-  void Recount();
+  double usable_slots() const {
+    RecountIfDue();
+    return usable_slots_;
+  }
+  // After a record's slots have changed. What was counted is counted anew when
+  // it is next asked for, so that a list costs one count and not one for each
+  // endpoint in it.
+  void Recount() { is_recount_due_ = true; }
+  // Counts so far.
+  std::uint64_t recounts() const { return recounts_; }
 
   // Steps of endpoints out of the service for failing, and back into it, since
   // the last call. `specs` names the endpoints by index.
@@ -67,11 +80,23 @@
   void AdvanceOne(EndpointIndex index, TimePoint now);
   void KeepCeiling(TimePoint now);
   std::size_t CountLive() const;
-  std::size_t CountIn(EndpointState state) const;
+  std::size_t CountIn(EndpointState state) const {
+    return in_state_[static_cast<std::size_t>(state)];
+  }
+  void Move(EndpointIndex index, EndpointState to);
+  // The lowest place of one that is gone and that nothing can refer to any
+  // more, else a new one.
+  EndpointIndex TakePlace();
+  void RecountIfDue() const;
 
   std::vector<EndpointRecord> records_;
-  std::vector<EndpointIndex> usable_;
-  double usable_slots_ = 0;
+  // Of the records, by state.
+  std::array<std::size_t, kEndpointStateCount> in_state_{};
+  std::set<EndpointIndex> gone_;
+  mutable bool is_recount_due_ = false;
+  mutable std::uint64_t recounts_ = 0;
+  mutable std::vector<EndpointIndex> usable_;
+  mutable double usable_slots_ = 0;
   // The ends of all sends, whichever the endpoint.
   EndpointHealth service_health_;
   // The next time at which a state changes by itself.
--- a/policy/endpoint_state.h
+++ b/policy/endpoint_state.h
@@ -2,6 +2,7 @@
 #define POLICY_ENDPOINT_STATE_H_
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -25,6 +26,7 @@
   kDraining,
   kGone,
 };
+inline constexpr std::size_t kEndpointStateCount = 7;
 
 enum class EndpointEvent : std::uint8_t {
   kServes,
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -85,6 +85,7 @@
       return false;
     }
     roster_.OnUnlisted(known.second, now);
+    unlisted_ids_.insert(spec.id);
     return true;
   });
   return gone > 0;
@@ -95,15 +96,7 @@
                                TimePoint now) {
   const auto [known, is_new] = listed_.try_emplace(spec.id);
   if (is_new) {
-    const bool has_restarted =
-        std::ranges::find(specs_, spec.id, &EndpointSpec::id) != specs_.end();
-    known->second = roster_.Add(as_warm && !has_restarted, now);
-    const std::size_t size =
-        std::max<std::size_t>(specs_.size(), known->second + 1);
-    specs_.resize(size);
-    measures_.resize(size);
-    measures_[known->second] = EndpointMeasure();
-    restraints_.OnAdded(known->second, spec.id);
+    known->second = Add(spec, as_warm, now);
   }
   const EndpointIndex index = known->second;
   cold_.OnListed(index, is_new ? nullptr : &specs_[index], spec, now);
@@ -114,6 +107,25 @@
   roster_.OnListed(index, spec, now);
 }
 
+EndpointIndex MeasuredEndpoints::Add(const EndpointSpec& spec,
+                                     bool as_warm,
+                                     TimePoint now) {
+  const bool has_restarted = unlisted_ids_.contains(spec.id);
+  const EndpointIndex index = roster_.Add(as_warm && !has_restarted, now);
+  if (index < specs_.size()) {
+    const auto before = unlisted_ids_.find(specs_[index].id);
+    if (before != unlisted_ids_.end()) {
+      unlisted_ids_.erase(before);
+    }
+    measures_[index] = EndpointMeasure();
+  } else {
+    specs_.resize(index + 1);
+    measures_.resize(index + 1);
+  }
+  restraints_.OnAdded(index, spec.id);
+  return index;
+}
+
 bool MeasuredEndpoints::IsAllowed(const WaitingCall& call,
                                   EndpointIndex index) const {
   const std::vector<RegionId>& allowed = call.offer.allowed_regions;
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/random.h"
@@ -143,6 +144,8 @@
   // Whether any that was listed is so no more.
   bool Unlist(const ServiceSpec& service, TimePoint now);
   void TakeIn(const EndpointSpec& spec, bool as_warm, TimePoint now);
+  // A place for an endpoint that is not listed yet.
+  EndpointIndex Add(const EndpointSpec& spec, bool as_warm, TimePoint now);
   // Whether the call may be worked on in the endpoint's region.
   bool IsAllowed(const WaitingCall& call, EndpointIndex index) const;
   bool MayTakeOne(const MeasuredCandidate& candidate, TimePoint now) const;
@@ -161,6 +164,9 @@
   // each, 3,000 endpoints held a host of a tenth of a core up for half a
   // second.
   std::unordered_map<EndpointId, EndpointIndex> listed_;
+  // Of those that are listed no more and whose place nobody else has taken;
+  // a process may start again under such an id.
+  std::unordered_multiset<EndpointId> unlisted_ids_;
   std::vector<EndpointMeasure> measures_;
   ColdEndpoints cold_;
   EndpointRestraints restraints_;
