Repeats are counted in the window that they are allowed by

Cause, a share that holds only while the fleet is small: a host's part of the fleet's slack for repeats was rounded up to one. Beyond as many hosts as the slack has repeats, all of them together may pass it: with a slack of 62, 586 hosts repeated 586 calls at once and 1,200 hosts 1,200 (the test below, run on the code before).

Change: on a platform that states a slack, a host repeats in any 10 s at most its percentage of its own first sends and its part of the slack. Parts below one are rounded up by some hosts and down by others. A host that starts takes the fleet for large until it is counted, as for cold endpoints.

Ruled out: a larger cap of savings (the sum of all caps passes the slack at some size); lending between hosts (messages by events times hosts).

A test replaced: "what hosts save up together stays within the fleet's slack" took what 1,000 sends of the same moment had earned for part of the slack. The rule counts it apart, so the sends now lie before the window; the test sums over real fleets of 13 to 1,200 hosts, bounds the sum from below as well, and a second one holds the fleet's bound over every window of generated loads.

--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -16,6 +16,12 @@
 constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(15);
 constexpr Duration kLongestRetryAfter = std::chrono::seconds(1);
 
+// From 0 to 1.
+double DrawPart(Random& random) {
+  constexpr std::uint32_t kSteps = 1U << 16U;
+  return static_cast<double>(UniformBelow(random, kSteps)) / kSteps;
+}
+
 }  // namespace
 
 MeasuredBalancer::MeasuredBalancer(MeasuredBalancerOptions options,
@@ -25,12 +31,12 @@
       endpoints_(options_),
       probes_(options_, endpoints_),
       queue_(options_.admission),
-      retries_(options_.retries) {}
+      retries_(options_.retries, DrawPart(random_)) {}
 
 void MeasuredBalancer::SetService(const ServiceSpec& service,
                                   std::int64_t hosts,
                                   TimePoint now) {
-  retries_.SetHosts(hosts);
+  retries_.SetFleet(hosts, service.endpoints.size(), now);
   probes_.Share(service.endpoints.size(), hosts, now);
   endpoints_.SetService(service, hosts, now);
 }
--- /dev/null
+++ b/policy/repeat_window.cc
@@ -0,0 +1,31 @@
+#include "policy/repeat_window.h"
+
+namespace damasktack {
+
+RepeatWindow::Slice& RepeatWindow::SliceAt(TimePoint now) {
+  const std::int64_t number = NumberOf(now);
+  Slice& slice = slices_[static_cast<std::size_t>(number) % slices_.size()];
+  if (slice.number != number) {
+    slice = Slice{number, 0, 0};
+  }
+  return slice;
+}
+
+bool RepeatWindow::TrySpend(TimePoint now) {
+  const std::int64_t number = NumberOf(now);
+  std::int64_t first_sends = 0;
+  std::int64_t repeats = 0;
+  for (const Slice& it : slices_) {
+    first_sends += number - it.number < kSlices ? it.first_sends : 0;
+    repeats += number - it.number <= kSlices ? it.repeats : 0;
+  }
+  const double allowed =
+      part_ * static_cast<double>(first_sends) + share_ + rounding_;
+  if (static_cast<double>(repeats + 1) > allowed) {
+    return false;
+  }
+  ++SliceAt(now).repeats;
+  return true;
+}
+
+}  // namespace damasktack
--- a/policy/retry_budget.cc
+++ b/policy/retry_budget.cc
@@ -22,17 +22,15 @@
 
 }  // namespace
 
-RetryBudget::RetryBudget(RetryBudgetOptions options)
-    : options_(options), service_cap_(options.service_cap) {}
+RetryBudget::RetryBudget(RetryBudgetOptions options, double rounding)
+    : options_(options),
+      window_(static_cast<double>(options.service_percent) * kPercent,
+              rounding) {}
 
-void RetryBudget::SetHosts(std::int64_t hosts) {
-  if (options_.fleet_slack <= 0) {
-    return;
-  }
-  const double part = options_.fleet_slack * kSlackUsed /
-                      static_cast<double>(std::max<std::int64_t>(hosts, 1));
-  service_cap_ = std::max(part, 1.0);
-  service_.repeats = std::min(service_.repeats, service_cap_);
+void RetryBudget::SetFleet(std::int64_t hosts,
+                           std::size_t endpoints,
+                           TimePoint now) {
+  fleet_.Set(hosts, endpoints, now);
 }
 
 void RetryBudget::Refill(Account& account, TimePoint now) const {
@@ -76,7 +74,8 @@
                               std::int64_t percent,
                               TimePoint now) {
   Earn(AccountOf(customer, now).repeats, percent, options_.customer_cap);
-  Earn(service_.repeats, options_.service_percent, service_cap_);
+  Earn(service_.repeats, options_.service_percent, options_.service_cap);
+  window_.OnFirstSend(now);
 }
 
 bool RetryBudget::TrySpend(const CustomerId& customer,
@@ -86,11 +85,22 @@
     return false;
   }
   Account& account = AccountOf(customer, now);
-  Refill(service_, now);
-  if (account.repeats < 1 || service_.repeats < 1) {
+  if (account.repeats < 1 || !TrySpendOfService(now)) {
     return false;
   }
   account.repeats -= 1;
+  return true;
+}
+
+bool RetryBudget::TrySpendOfService(TimePoint now) {
+  if (options_.fleet_slack > 0) {
+    window_.SetShare(options_.fleet_slack * kSlackUsed / fleet_.Count(now));
+    return window_.TrySpend(now);
+  }
+  Refill(service_, now);
+  if (service_.repeats < 1) {
+    return false;
+  }
   service_.repeats -= 1;
   return true;
 }
--- a/policy/retry_budget.h
+++ b/policy/retry_budget.h
@@ -8,6 +8,8 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "policy/call.h"
+#include "policy/fleet_size.h"
+#include "policy/repeat_window.h"
 
 namespace damasktack {
 
@@ -18,8 +20,8 @@
   double customer_cap = 10;
   double service_cap = 50;
   // Repeats beyond the percentage that all hosts together may send of one
-  // service within a moment. Above 0 each host may keep its part of them, in
-  // place of `service_cap`.
+  // service in any RepeatWindow. Above 0 that window takes the place of
+  // `service_cap`.
   double fleet_slack = 0;
   // Time in which a customer that sends almost nothing earns one repeat.
   Duration idle_refill = std::chrono::seconds(10);
@@ -37,10 +39,11 @@
 // many times its load.
 class RetryBudget {
  public:
-  explicit RetryBudget(RetryBudgetOptions options);
+  // `rounding` from 0 to 1, drawn by each host; see RepeatWindow.
+  explicit RetryBudget(RetryBudgetOptions options, double rounding = 0);
 
-  // How many hosts share the service's slack.
-  void SetHosts(std::int64_t hosts);
+  // How many hosts share the slack of the service, and its endpoints.
+  void SetFleet(std::int64_t hosts, std::size_t endpoints, TimePoint now);
   // A first send earns `percent` hundredths of a repeat.
   void OnFirstSend(const CustomerId& customer,
                    std::int64_t percent,
@@ -71,11 +74,13 @@
   Account& AccountOf(const CustomerId& customer, TimePoint now);
   void Refill(Account& account, TimePoint now) const;
   void ForgetIdle(TimePoint now);
+  bool TrySpendOfService(TimePoint now);
 
   RetryBudgetOptions options_;
-  double service_cap_;
   std::unordered_map<CustomerId, Account> customers_;
   Account service_;
+  FleetSize fleet_;
+  RepeatWindow window_;
   // Part of the recent sends that failed, and that were refused unrun.
   double failing_ = 0;
   double refused_ = 0;
