Endpoints that are cold by the list count as slow

Cause: an endpoint that has just started works at half its pace for seconds, and says so in the list; a decision took it for as good as any, and looked at those that joined first.

Change: how many times longer work takes at a cold endpoint is learnt from answers (from two on), and counts in the expected time while the list says cold. Endpoints that join are looked at first once they are warm. Such executions no longer move what is usual.

Ruled out: a fixed factor for a new endpoint's first calls (knows nothing of the service); no calls at all while cold (a service that is all cold would refuse).

A test replaced: "cold servers get no more than they tolerate" showed first that without a bound they get more where 0.4 of them are cold.

--- a/policy/cold_endpoints.h
+++ b/policy/cold_endpoints.h
@@ -58,8 +58,13 @@
     allowances_[index].OnSend(now);
   }
 
+  // Whether work takes longer there.
+  bool IsSlow(EndpointIndex index, TimePoint now) const {
+    return allowances_[index].IsCold(now);
+  }
+  // Whether it bears few calls only.
   bool IsCold(EndpointIndex index, TimePoint now) const {
-    return rate_ > 0 && allowances_[index].IsCold(now);
+    return rate_ > 0 && IsSlow(index, now);
   }
   // Whether a call may go there; `usual_time` is that of an execution.
   bool MayTakeOne(const ColdLook& look,
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -192,6 +192,8 @@
   double pace = measures_[index].Pace(prior_, options_.memory, now);
   if (record.state == EndpointState::kTrial) {
     pace *= kTrialCost;
+  } else if (cold_.IsSlow(index, now)) {
+    pace *= cold_pace_.value();
   } else if (record.state != EndpointState::kServing && HasHadCalls(record)) {
     pace *= kColdCost;
   }
@@ -278,7 +280,8 @@
   const bool has_joined =
       roster_.records()[index].state != EndpointState::kServing;
   const bool was_measured = measures_[index].ReportAge(now) >= Duration::zero();
-  if (has_joined && preference_.IsFirst(index) && !was_measured) {
+  const bool is_warm = !cold_.IsSlow(index, now);
+  if (has_joined && is_warm && preference_.IsFirst(index) && !was_measured) {
     it.cost = Scaled(it.cost, kNewLook);
   }
   return it;
@@ -287,7 +290,11 @@
 void MeasuredEndpoints::OnSend(CallToken token,
                                const MeasuredCandidate& to,
                                TimePoint now) {
-  sent_[token] = {to.FillWithOne(), to.pace, to.is_fresh};
+  SentCall& sent = sent_[token];
+  sent = {to.FillWithOne(), to.pace, to.is_fresh, std::nullopt};
+  if (cold_.IsSlow(to.index, now)) {
+    sent.warm_time = Scaled(to.finish, 1 / cold_pace_.value());
+  }
   cold_.OnSend(to.index, now);
   restraints_.OnSend(to.index, now);
   roster_.record(to.index).estimate.OnSend();
@@ -310,6 +317,12 @@
 }
 
 void MeasuredEndpoints::Learn(const SendEnd& end, const SentCall& sent) {
+  if (sent.warm_time) {
+    if (end.result == SendResult::kAnswered && sent.is_fresh) {
+      cold_pace_.OnExecution(end.took, *sent.warm_time);
+    }
+    return;
+  }
   const bool was_slow = sent.pace > options_.good_pace ||
                         (end.report && end.report->pace > options_.good_pace);
   if (end.result == SendResult::kAnswered && sent.is_fresh && !was_slow) {
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -10,6 +10,7 @@
 #include "core/random.h"
 #include "policy/balancer.h"
 #include "policy/cold_endpoints.h"
+#include "policy/cold_pace.h"
 #include "policy/endpoint_measure.h"
 #include "policy/endpoint_preference.h"
 #include "policy/endpoint_process.h"
@@ -132,6 +133,9 @@
     double fill = 0;
     double pace = 1;
     bool is_fresh = false;
+    // What it would take at that pace if the endpoint is warm; set where it is
+    // not.
+    std::optional<Duration> warm_time;
   };
 
   void NoteLeaving(EndpointIndex endpoint,
@@ -174,6 +178,7 @@
   EndpointRoster roster_;
   MeasurePrior prior_;
   ExecutionProfile profile_;
+  ColdPace cold_pace_;
   // Calls at endpoints.
   std::unordered_map<CallToken, SentCall> sent_;
   std::optional<TimePoint> first_list_at_;
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -675,6 +675,40 @@
   CHECK(first.size() <= 20);
 }
 
+// Guards against late answers while hundreds of endpoints join: they are free
+// and slow, and got calls that others would have ended on time.
+TEST_CASE(
+    "endpoints that have just started wait for calls until they are warm") {
+  constexpr EndpointIndex kBefore = 40;
+  constexpr EndpointIndex kAfter = 60;
+  Harness harness(kAfter);
+  harness.balancer.SetService(MakeService(kBefore), 1, harness.now);
+  harness.now += std::chrono::seconds(10);
+  ServiceSpec service = MakeService(kAfter);
+  for (EndpointIndex n = kBefore; n < kAfter; ++n) {
+    service.endpoints[n].id = EndpointId("joined" + std::to_string(n));
+    service.endpoints[n].cold_until = harness.now + std::chrono::seconds(3);
+  }
+  harness.balancer.SetService(service, 1, harness.now);
+  const auto count_at_joined = [&](CallToken first) {
+    int at_joined = 0;
+    for (CallToken token = first; token < first + 100; ++token) {
+      harness.now += milliseconds(20);
+      const CallOffer offer = MakeCall(token, harness.now);
+      Decisions out = harness.Offer(offer);
+      REQUIRE(out.dispatches.size() == 1);
+      const EndpointIndex endpoint = out.dispatches[0].endpoint;
+      const EndpointId& id = harness.balancer.endpoint(endpoint).id;
+      at_joined += id.text().starts_with("joined") ? 1 : 0;
+      harness.End(offer, endpoint, SendResult::kAnswered, out);
+    }
+    return at_joined;
+  };
+  CHECK(count_at_joined(1) == 0);
+  harness.now += std::chrono::seconds(2);
+  CHECK(count_at_joined(1000) > 0);
+}
+
 // Twenty endpoints join a service of eighty on which a hundred hosts place
 // calls. Each host looks only at those that it will turn to later.
 TEST_CASE("endpoints that join are looked at by the hosts that favour them") {
--- a/tests/standin/test_load_emulator.cc
+++ b/tests/standin/test_load_emulator.cc
@@ -150,15 +150,14 @@
 
 // Endpoints that were given back crash anew. They are cold, with short work on
 // six slots: to every host they look free, and all hosts together send them
-// several times what they tolerate. Also where hosts take the fleet for half as
-// large as it is.
+// several times what they tolerate where no others are left. Also where hosts
+// take the fleet for half as large as it is.
 TEST_CASE("cold servers get no more than they tolerate from all hosts") {
   EmulatedService service;
   service.endpoints = 15;
   service.slots = 6;
   service.zones = 3;
   service.work = std::chrono::milliseconds(20);
-  service.cold_part = 0.4;
   service.cold_from = std::chrono::seconds(3);
   EmulatedLoad load;
   load.calls_per_second = 1000;
@@ -167,10 +166,13 @@
     CAPTURE(hosts);
     load.hosts = hosts;
     load.believed_hosts = hosts / 2;
+    service.cold_part = 1;
     service.cold_rate = 0;
     CHECK(WorstColdSecond(service, load) > kMostInASecond);
     service.cold_rate = kColdRate;
     CHECK(WorstColdSecond(service, load) <= kMostInASecond);
+    service.cold_part = 0.4;
+    CHECK(WorstColdSecond(service, load) <= kMostInASecond);
   }
 }
 
