--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -52,8 +52,9 @@
   visitor.Number("retry_slack", options.balancer.retries.fleet_slack, 0,
                  1'000'000, "sends",
                  "repeated sends of a service beyond retry_percent that all "
-                 "hosts together may save up; above 0 each keeps its part of "
-                 "them in place of retry_burst, with measures_before_sending");
+                 "hosts together may send in any 10 s; above 0 each has its "
+                 "part of them in place of retry_burst, with "
+                 "measures_before_sending");
   visitor.Flag("measures_before_sending", options.measures_before_sending,
                "probe endpoints at the moment at which a call is placed; for "
                "services whose executions take tens of milliseconds and more");
