Parts of an update are sent one after the other, encoded once for all

Cause, work that grows as followers times list: a follower asked for each part, and the answer was encoded for it alone. Transfers took longer than knowledge may be old, so that followers read the store beside them.

Change: all parts go out at once, in order, to all who have the same, and the last one confirms them. A part that does not follow the one before it ends the transfer, and a hello begins it anew. FeedPartRequest is gone.

Ruled out: answering requests in batches (a wait on each of twelve ways); larger parts (the same at the next size).

What it costs: a seed's queues hold the whole list for each follower, as they did before there were parts.

--- a/fleet/feed_options.h
+++ b/fleet/feed_options.h
@@ -49,8 +49,8 @@
   // An update with more entries of endpoints goes out in parts, so that no size
   // of a fleet makes a frame that peers refuse or that holds up their calls.
   std::size_t most_part_entries = 1000;
-  // A transfer in parts ends where nothing was heard of it for this long.
-  Duration part_patience = std::chrono::milliseconds(3000);
+  // How long the next part of a transfer is waited for.
+  Duration part_patience = std::chrono::milliseconds(1000);
 
   // One watch waits this long; each answer confirms what the fleet knows.
   Duration watch = std::chrono::milliseconds(600);
--- a/fleet/feed_peers.h
+++ b/fleet/feed_peers.h
@@ -13,10 +13,12 @@
 
 namespace damasktack {
 
-// An update that goes to or comes from a peer in parts.
+// An update that comes from a peer in parts, and where the next one begins.
 struct FeedTransfer {
-  // Where the update begins.
   Revision after = 0;
+  Revision current = 0;
+  EndpointId begin;
+  // A part that has not come by then was lost.
   TimePoint until;
 
   bool IsUnderWay(TimePoint now) const { return now < until; }
@@ -29,8 +31,7 @@
   // What was sent to it or heard from it.
   Revision sent = 0;
   TimePoint sent_confirmed;
-  FeedTransfer sending;
-  FeedTransfer receiving;
+  FeedTransfer transfer;
   // What it fed was confirmed then, and its last word of an outage came then.
   std::optional<TimePoint> fed_at;
   std::optional<TimePoint> outage_at;
--- a/fleet/peer_message.h
+++ b/fleet/peer_message.h
@@ -40,7 +40,6 @@
                                  FeedHello,
                                  FeedUpdate,
                                  FeedPart,
-                                 FeedPartRequest,
                                  FeedOutage,
                                  CrashReport,
                                  EndpointRateReport>;
--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -302,10 +302,7 @@
   peers_.OnLinkDown(host);
 }
 
-bool PublishedFeed::HasNewsFor(const FeedPeer& peer, TimePoint now) const {
-  if (peer.sending.IsUnderWay(now)) {
-    return false;
-  }
+bool PublishedFeed::HasNewsFor(const FeedPeer& peer) const {
   const bool is_behind = peer.sent < view_.revision();
   const bool is_older = peer.sent_confirmed < *confirmed_at_;
   if (peers_.Follows(peer)) {
@@ -325,85 +322,80 @@
                               TimePoint now,
                               Outbox& out) {
   if (const auto* hello = std::get_if<FeedHello>(&message)) {
-    TakeHello(host, *hello, now, out);
+    FeedPeer& peer = peers_.at(host);
+    peer.hello = *hello;
+    peer.sent = hello->revision;
+    const bool is_behind =
+        peer.sent < view_.revision() || peer.sent_confirmed == TimePoint();
+    if (peers_.Follows(peer) && confirmed_at_ && is_behind) {
+      SendUpdate({host}, peer.sent, now, out);
+    }
   } else if (const auto* update = std::get_if<FeedUpdate>(&message)) {
-    Take(host, *update, now, out);
+    Take(host, *update, {}, now, out);
   } else if (const auto* part = std::get_if<FeedPart>(&message)) {
     TakePart(host, *part, now, out);
-  } else if (const auto* request = std::get_if<FeedPartRequest>(&message)) {
-    SendNextPart(host, *request, now, out);
   } else if (const auto* outage = std::get_if<FeedOutage>(&message)) {
     peers_.at(host).outage_at = now;
     told_hosts_ = outage->hosts > 0 ? outage->hosts : told_hosts_;
   }
 }
 
-void PublishedFeed::TakeHello(const HostId& host,
-                              const FeedHello& hello,
-                              TimePoint now,
-                              Outbox& out) {
-  FeedPeer& peer = peers_.at(host);
-  peer.hello = hello;
-  // It still has what it had when the transfer began.
-  if (peer.sending.IsUnderWay(now) && hello.revision == peer.sending.after) {
-    return;
-  }
-  peer.sending = {};
-  peer.sent = hello.revision;
-  const bool is_behind =
-      peer.sent < view_.revision() || peer.sent_confirmed == TimePoint();
-  if (peers_.Follows(peer) && confirmed_at_ && is_behind) {
-    SendUpdate({host}, peer.sent, now, out);
+bool PublishedFeed::IsNextPart(const HostId& host,
+                               const FeedPart& part,
+                               TimePoint now) {
+  const FeedUpdate& update = part.update;
+  FeedTransfer& transfer = peers_.at(host).transfer;
+  const FeedTransfer expected = part.range.IsFirst()
+                                    ? FeedTransfer{update.after,
+                                                   update.changes.current,
+                                                   {},
+                                                   now + options_.part_patience}
+                                    : std::exchange(transfer, {});
+  const bool is_next = expected.IsUnderWay(now) &&
+                       expected.after == update.after &&
+                       expected.current == update.changes.current &&
+                       expected.begin == part.range.begin;
+  if (is_next && !part.range.IsLast()) {
+    transfer = {update.after, update.changes.current, part.range.end,
+                now + options_.part_patience};
+  }
+  return is_next;
+}
+
+void PublishedFeed::TakePart(const HostId& host,
+                             const FeedPart& part,
+                             TimePoint now,
+                             Outbox& out) {
+  if (IsNextPart(host, part, now)) {
+    Take(host, part.update, part.range, now, out);
+  } else if (part.range.IsLast()) {
+    out.Send(host, Hello());
   }
 }
 
-bool PublishedFeed::TakeChanges(const HostId& host,
-                                const FeedUpdate& update,
-                                const EndpointRange& range,
-                                TimePoint now,
-                                Outbox& out) {
+void PublishedFeed::Take(const HostId& host,
+                         const FeedUpdate& update,
+                         const EndpointRange& range,
+                         TimePoint now,
+                         Outbox& out) {
   ++counters_.updates_received;
-  // Changes between are missing: a frame was dropped, or they are on their way
-  // in parts.
+  // Changes between are missing: a frame was dropped, or a part of them is
+  // still to come.
   if (update.after > view_.revision()) {
-    if (!peers_.at(host).receiving.IsUnderWay(now)) {
+    if (!peers_.at(host).transfer.IsUnderWay(now)) {
       out.Send(host, Hello());
     }
-    return false;
+    return;
   }
   view_.TakePart({range, update.changes, update.whole, update.present},
                  update.after_outage, now);
   if (view_.TakeMissesBook()) {
-    peers_.at(host).receiving = {};
+    peers_.at(host).transfer = {};
     out.Send(host,
              FeedHello{rank_, options_.address, 0, peers_.CountFollowers()});
-    return false;
-  }
-  return true;
-}
-
-void PublishedFeed::TakePart(const HostId& host,
-                             const FeedPart& part,
-                             TimePoint now,
-                             Outbox& out) {
-  const FeedUpdate& update = part.update;
-  if (!TakeChanges(host, update, part.range, now, out)) {
     return;
   }
-  FeedPeer& peer = peers_.at(host);
-  peer.receiving = {};
-  if (!part.range.IsLast()) {
-    peer.receiving = {update.after, now + options_.part_patience};
-    out.Send(host, FeedPartRequest{update.after, update.changes.current,
-                                   part.range.end});
-  }
-}
-
-void PublishedFeed::Take(const HostId& host,
-                         const FeedUpdate& update,
-                         TimePoint now,
-                         Outbox& out) {
-  if (!TakeChanges(host, update, {}, now, out)) {
+  if (!range.IsLast()) {
     return;
   }
   // One that knows less than this host confirms nothing.
@@ -450,49 +442,24 @@
                                Revision after,
                                TimePoint now,
                                Outbox& out) {
-  PublishedPart part =
-      view_.PartAfter(after, {}, options_.most_part_entries, now);
-  const EndpointRange range = part.range;
-  FeedUpdate update = MakeUpdate(after, std::move(part), now);
   for (const HostId& it : to) {
     FeedPeer& peer = peers_.at(it);
     peer.sent = view_.revision();
     peer.sent_confirmed = *confirmed_at_;
-    if (!range.IsLast()) {
-      peer.sending = {after, now + options_.part_patience};
-    }
     ++counters_.updates_sent;
   }
-  if (range.IsLast()) {
-    out.SendToAll(std::move(to), std::move(update));
-  } else {
-    out.SendToAll(std::move(to), FeedPart{std::move(update), range});
-  }
-}
-
-// What changed since the first part follows as an update after the last one,
-// and confirms them all.
-void PublishedFeed::SendNextPart(const HostId& host,
-                                 const FeedPartRequest& request,
-                                 TimePoint now,
-                                 Outbox& out) {
-  if (!confirmed_at_) {
-    return;
-  }
-  PublishedPart part = view_.PartAfter(request.after, request.begin,
-                                       options_.most_part_entries, now);
-  part.changes.current = std::min(part.changes.current, request.current);
-  FeedPeer& peer = peers_.at(host);
-  peer.sent = part.changes.current;
-  peer.sent_confirmed = TimePoint();
-  peer.sending = {};
-  if (!part.range.IsLast()) {
-    peer.sending = {request.after, now + options_.part_patience};
-  }
-  ++counters_.updates_sent;
-  const EndpointRange range = part.range;
-  out.Send(host,
-           FeedPart{MakeUpdate(request.after, std::move(part), now), range});
+  EndpointRange range;
+  do {
+    PublishedPart part =
+        view_.PartAfter(after, range.end, options_.most_part_entries, now);
+    range = part.range;
+    FeedUpdate update = MakeUpdate(after, std::move(part), now);
+    if (range.IsFirst() && range.IsLast()) {
+      out.SendToAll(to, std::move(update));
+    } else {
+      out.SendToAll(to, FeedPart{std::move(update), range});
+    }
+  } while (!range.IsLast());
 }
 
 void PublishedFeed::Feed(TimePoint now, Outbox& out) {
@@ -505,7 +472,7 @@
   // Nearly all peers have the same already, and get the same update.
   std::map<Revision, std::vector<HostId>> behind;
   for (const auto& [host, peer] : peers_.all()) {
-    if (HasNewsFor(peer, now)) {
+    if (HasNewsFor(peer)) {
       behind[peer.sent].push_back(host);
       has_helped_ = has_helped_ || peers_.IsFeeder(peer);
     }
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -67,7 +67,7 @@
   void FindRank();
   bool IsSeed() const { return rank_ != FeedHello::kNoSeed; }
   // Whether what this host knows is news to the peer, and for this host to say.
-  bool HasNewsFor(const FeedPeer& peer, TimePoint now) const;
+  bool HasNewsFor(const FeedPeer& peer) const;
   // Whether the store told this host itself what it knows.
   bool IsReadingWell() const {
     return reads_store_ && is_synced_ && !lost_contact_;
@@ -99,26 +99,15 @@
                   Revision after,
                   TimePoint now,
                   Outbox& out);
-  void SendNextPart(const HostId& host,
-                    const FeedPartRequest& request,
-                    TimePoint now,
-                    Outbox& out);
-  void TakeHello(const HostId& host,
-                 const FeedHello& hello,
-                 TimePoint now,
-                 Outbox& out);
-  // False where more has to be asked for before the changes mean anything.
-  bool TakeChanges(const HostId& host,
-                   const FeedUpdate& update,
-                   const EndpointRange& range,
-                   TimePoint now,
-                   Outbox& out);
+  // False where it is not the part that is to come next.
+  bool IsNextPart(const HostId& host, const FeedPart& part, TimePoint now);
   void TakePart(const HostId& host,
                 const FeedPart& part,
                 TimePoint now,
                 Outbox& out);
   void Take(const HostId& host,
             const FeedUpdate& update,
+            const EndpointRange& range,
             TimePoint now,
             Outbox& out);
   FeedHello Hello() const;
--- a/fleet/published_messages.cc
+++ b/fleet/published_messages.cc
@@ -201,23 +201,6 @@
   return part;
 }
 
-Json FeedPartRequest::ToJson() const {
-  return Json{{"after", after}, {"current", current}, {"begin", begin.text()}};
-}
-
-leaf::result<FeedPartRequest> FeedPartRequest::Parse(const Json& json,
-                                                     const std::string& path) {
-  FeedPartRequest request;
-  std::string begin;
-  JsonReader reader(json, path);
-  reader.Read("after", request.after);
-  reader.Read("current", request.current);
-  reader.Read("begin", begin);
-  BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
-  request.begin = EndpointId(std::move(begin));
-  return request;
-}
-
 Json FeedOutage::ToJson() const {
   return Json{{"hosts", hosts}};
 }
--- a/fleet/published_messages.h
+++ b/fleet/published_messages.h
@@ -68,9 +68,9 @@
   bool operator==(const FeedUpdate&) const = default;
 };
 
-// A range of an update that is too large for one message. It confirms nothing:
-// an update follows the last one. Of a kind of its own, since a daemon that
-// knows no ranges would take it for all there is.
+// A range of an update that is too large for one message. Parts are sent one
+// after the other; the last one confirms them all. Of a kind of its own, since
+// a daemon that knows no ranges would take it for all there is.
 struct FeedPart {
   static constexpr std::string_view kKind = "feed-part";
 
@@ -84,24 +84,6 @@
   bool operator==(const FeedPart&) const = default;
 };
 
-// Asks for the part that follows one which the sender has taken. One part at a
-// time is on its way to a host, however long the whole update is.
-struct FeedPartRequest {
-  static constexpr std::string_view kKind = "feed-part-request";
-
-  // Of the part before: where its update begins and ends, and its last
-  // endpoint.
-  Revision after = 0;
-  Revision current = 0;
-  EndpointId begin;
-
-  Json ToJson() const;
-  static leaf::result<FeedPartRequest> Parse(const Json& json,
-                                             const std::string& path);
-
-  bool operator==(const FeedPartRequest&) const = default;
-};
-
 // The sender asks the store and gets no answer, or was told so. Without a word
 // a follower cannot tell such a seed from one that is dead, and asks the store
 // itself.
