What a feeder tells is taken by reference, and sets only where they are used

Cause: with updates in parts, each update and each answer of a watch was copied into a part before it was taken, books of routes included, and the sets of what it names were filled although only an update that cannot name each removal needs them. Both lie on the path of every change at every host.

Change: TakePart takes range, changes and the unchanged endpoints apart, the last null where all removals are named. No behaviour changes; one test passes the arguments in the new form, its assertions as they were.

--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -387,8 +387,9 @@
     }
     return;
   }
-  view_.TakePart({range, update.changes, update.whole, update.present},
-                 update.after_outage, now);
+  view_.TakePart(range, update.changes,
+                 update.whole ? &update.present : nullptr, update.after_outage,
+                 now);
   if (view_.TakeMissesBook()) {
     peers_.at(host).transfer = {};
     out.Send(host,
--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -73,14 +73,14 @@
   }
 }
 
-void PublishedView::TakePart(const PublishedPart& part,
+void PublishedView::TakePart(const EndpointRange& range,
+                             const PublishedItems& changes,
+                             const std::vector<EndpointId>* present,
                              bool after_outage,
                              TimePoint now) {
-  Present listed{{part.present.begin(), part.present.end()}, {}};
-  for (const PublishedItem& it : part.changes.items) {
-    listed.Add(it.value);
+  for (const PublishedItem& it : changes.items) {
     Take(it, after_outage, now);
-    if (part.whole) {
+    if (present != nullptr) {
       TellAnew(it);
     }
   }
@@ -89,16 +89,20 @@
   if (misses_book_) {
     return;
   }
-  if (part.whole) {
-    Retain(listed, part.range, part.changes.current, after_outage, now);
+  if (present != nullptr) {
+    Present listed{{present->begin(), present->end()}, {}};
+    for (const PublishedItem& it : changes.items) {
+      listed.Add(it.value);
+    }
+    Retain(listed, range, changes.current, after_outage, now);
   }
-  if (!part.range.IsLast()) {
+  if (!range.IsLast()) {
     return;
   }
-  if (part.whole) {
-    ReachWhole(part.changes.current);
+  revision_ = std::max(revision_, changes.current);
+  if (present != nullptr) {
+    ReachWhole(changes.current);
   }
-  revision_ = std::max(revision_, part.changes.current);
 }
 
 void PublishedView::ReachWhole(Revision revision) {
@@ -153,7 +157,7 @@
 void PublishedView::TakeChanges(const PublishedItems& changes,
                                 bool after_outage,
                                 TimePoint now) {
-  TakePart({{}, changes, false, {}}, after_outage, now);
+  TakePart({}, changes, nullptr, after_outage, now);
 }
 
 void PublishedView::Take(const PublishedItem& item,
--- a/fleet/published_view.h
+++ b/fleet/published_view.h
@@ -38,10 +38,15 @@
   void TakeAll(const PublishedItems& all, bool after_outage, TimePoint now);
   // Some of what is published; what is not in it may be so as well.
   void TakeSome(const PublishedItems& some, TimePoint now);
-  // What a feeder tells. Where it is whole, endpoints that are missing are
-  // removed as above, and all drains of zones that are in force are in the
-  // first part. The last part brings this view up to its revision.
-  void TakePart(const PublishedPart& part, bool after_outage, TimePoint now);
+  // What a feeder tells of a range. Where it cannot name each removal,
+  // `present` has the endpoints that have not changed, else it is null: those
+  // missing are removed as above, and all drains of zones that are in force are
+  // in the first part. The last part brings this view up to its revision.
+  void TakePart(const EndpointRange& range,
+                const PublishedItems& changes,
+                const std::vector<EndpointId>* present,
+                bool after_outage,
+                TimePoint now);
   // Changes from a watch.
   void TakeChanges(const PublishedItems& changes,
                    bool after_outage,
--- a/tests/fleet/test_drained_zones.cc
+++ b/tests/fleet/test_drained_zones.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <vector>
+
 #include <string>
 
 #include "fleet/published_view.h"
@@ -58,7 +60,8 @@
   follower.TakeChanges(Drain(5, true), false, kStart);
   follower.TakeChanges({{{6, ZoneDrain{ZoneId("gone"), true}}}, 6}, false,
                        kStart);
-  follower.TakePart({{}, update, true, {}}, false, kStart);
+  const std::vector<EndpointId> present;
+  follower.TakePart({}, update, &present, false, kStart);
   CHECK(InForce(follower) == kZone);
 }
 
