Calls to cold endpoints are logged with what their host believed

The users' record of a flooded cold endpoint holds no line about it: calls that succeed leave none, and no line tells that a host believes an endpoint cold. So old views, slots that are freed early and hosts that do not know could not be told apart.

event=cold-send names the call, the endpoint, whose word says that it is cold and since when, what the last report said, when it was asked for, and the hosts believed in; within the bound of lines of calls. A report carries how long before its arrival it was asked for. No decision changes. An arrival at a cold endpoint without a line is one of a host that took it for warm.

--- a/policy/call_offer.h
+++ b/policy/call_offer.h
@@ -9,6 +9,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "policy/call.h"
+#include "policy/cold_basis.h"
 
 namespace damasktack {
 
@@ -53,6 +54,8 @@
   Duration expected{};
   // How old the report was that said so; negative without any.
   Duration report_age{-1};
+  // Set where the call goes to a cold endpoint that bears few.
+  std::optional<ColdBasis> cold = std::nullopt;
 
   bool operator==(const DecisionBasis&) const = default;
 };
--- a/policy/cold_allowance.h
+++ b/policy/cold_allowance.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "core/time.h"
+#include "policy/cold_basis.h"
 #include "policy/shared_rate.h"
 
 namespace damasktack {
@@ -18,10 +19,18 @@
   // `seed` differs by host and by endpoint.
   explicit ColdAllowance(std::uint64_t seed = 0) : rate_(seed) {}
 
-  // The newest word of how long the endpoint stays cold.
-  void OnCold(TimePoint until) { cold_until_ = until; }
+  // The newest word of how long the endpoint stays cold, and whose it is.
+  void OnCold(ColdWord word, TimePoint until, TimePoint now) {
+    if (until != cold_until_) {
+      word_ = word;
+      told_at_ = now;
+    }
+    cold_until_ = until;
+  }
   bool IsCold(TimePoint now) const { return now < cold_until_; }
   TimePoint cold_until() const { return cold_until_; }
+  ColdWord word() const { return word_; }
+  TimePoint told_at() const { return told_at_; }
 
   // Whether a call may go there; `share` is this host's part of the rate, in
   // calls a second.
@@ -32,6 +41,8 @@
 
  private:
   TimePoint cold_until_;
+  ColdWord word_ = ColdWord::kList;
+  TimePoint told_at_;
   SharedRate rate_;
 };
 
--- /dev/null
+++ b/policy/cold_basis.h
@@ -0,0 +1,41 @@
+#ifndef POLICY_COLD_BASIS_H_
+#define POLICY_COLD_BASIS_H_
+
+#include <cstdint>
+#include <string_view>
+
+#include "core/time.h"
+
+namespace damasktack {
+
+// Who says that an endpoint is cold.
+enum class ColdWord : std::uint8_t {
+  // Its entry in the published list.
+  kList,
+  // The endpoint itself, on the answer to a probe.
+  kProbe,
+  // Nobody yet: the drain of its zone has ended.
+  kDrainEnd,
+};
+std::string_view ToString(ColdWord word);
+
+// What a host believed of a cold endpoint when it placed a call there.
+struct ColdBasis {
+  ColdWord word = ColdWord::kList;
+  // How long ago that was said, and how much longer the endpoint stays cold.
+  Duration word_age{};
+  Duration left{};
+  // Calls there and the slots for them, and how long ago the report that says
+  // so was asked for.
+  double calls = 0;
+  double slots = 0;
+  Duration asked_age{};
+  // Hosts that share out what the endpoint bears.
+  double hosts = 0;
+
+  bool operator==(const ColdBasis&) const = default;
+};
+
+}  // namespace damasktack
+
+#endif  // POLICY_COLD_BASIS_H_
--- a/policy/cold_endpoints.cc
+++ b/policy/cold_endpoints.cc
@@ -38,11 +38,13 @@
     const std::string names = host_.text() + spec.id.text();
     allowance = ColdAllowance(XXH3_64bits(names.data(), names.size()));
   }
-  TimePoint until = std::max(allowance.cold_until(), spec.cold_until);
+  allowance.OnCold(ColdWord::kList,
+                   std::max(allowance.cold_until(), spec.cold_until), now);
   if (before != nullptr && before->zone_drained && !spec.zone_drained) {
-    until = std::max<TimePoint>(until, now + cold_time_);
+    const TimePoint until =
+        std::max<TimePoint>(allowance.cold_until(), now + cold_time_);
+    allowance.OnCold(ColdWord::kDrainEnd, until, now);
   }
-  allowance.OnCold(until);
 }
 
 bool ColdEndpoints::IsBoundBySlots(double slots, Duration usual_time) const {
@@ -67,6 +69,20 @@
          allowances_[look.index].Allows(Share(now), now);
 }
 
+std::optional<ColdBasis> ColdEndpoints::BasisOf(EndpointIndex index,
+                                                TimePoint now) const {
+  if (!IsCold(index, now)) {
+    return std::nullopt;
+  }
+  const ColdAllowance& it = allowances_[index];
+  ColdBasis basis;
+  basis.word = it.word();
+  basis.word_age = now - it.told_at();
+  basis.left = it.cold_until() - now;
+  basis.hosts = fleet_.Count(now);
+  return basis;
+}
+
 bool ColdEndpoints::IsWorthALook(EndpointIndex index,
                                  double slots,
                                  Duration usual_time,
--- a/policy/cold_endpoints.h
+++ b/policy/cold_endpoints.h
@@ -1,6 +1,7 @@
 #ifndef POLICY_COLD_ENDPOINTS_H_
 #define POLICY_COLD_ENDPOINTS_H_
 
+#include <optional>
 #include <vector>
 
 #include "contract/service.h"
@@ -52,7 +53,7 @@
                 TimePoint now);
   // The endpoint's own word, on the answer to a probe.
   void OnColdTime(EndpointIndex index, Duration cold_for, TimePoint now) {
-    allowances_[index].OnCold(now + cold_for);
+    allowances_[index].OnCold(ColdWord::kProbe, now + cold_for, now);
   }
   void OnSend(EndpointIndex index, TimePoint now) {
     allowances_[index].OnSend(now);
@@ -70,6 +71,8 @@
   bool MayTakeOne(const ColdLook& look,
                   Duration usual_time,
                   TimePoint now) const;
+  // What a call that goes there now rests on; null where it bears any number.
+  std::optional<ColdBasis> BasisOf(EndpointIndex index, TimePoint now) const;
   // Whether a report could show that a call may go there.
   bool IsWorthALook(EndpointIndex index,
                     double slots,
--- a/policy/endpoint_measure.cc
+++ b/policy/endpoint_measure.cc
@@ -6,6 +6,7 @@
 
 void EndpointMeasure::OnReport(const EndpointReport& report, TimePoint now) {
   reported_at_ = now;
+  asked_at_ = now - report.asked_before;
   probe_sent_at_.reset();
   failed_at_.reset();
   pace_ = report.pace;
--- a/policy/endpoint_measure.h
+++ b/policy/endpoint_measure.h
@@ -52,11 +52,17 @@
   Duration ReportAge(TimePoint now) const {
     return reported_at_ ? now - *reported_at_ : Duration(-1);
   }
+  // Since the last report was asked for: what it says is no older.
+  Duration AskedAge(TimePoint now) const {
+    return reported_at_ ? now - asked_at_ : Duration(-1);
+  }
 
  private:
   double WeightAt(TimePoint now, Duration memory) const;
 
   std::optional<TimePoint> reported_at_;
+  // Of the last report; set where there is one.
+  TimePoint asked_at_;
   std::optional<TimePoint> probe_sent_at_;
   std::optional<TimePoint> failed_at_;
   double pace_ = 1;
--- a/policy/endpoint_report.h
+++ b/policy/endpoint_report.h
@@ -15,6 +15,8 @@
 struct EndpointReport {
   // When this host learned it, by this host's clock.
   TimePoint received_at;
+  // How long before that it was asked for. The endpoint counted in between.
+  Duration asked_before{};
   // Calls being worked on, from every host.
   std::int32_t in_flight = 0;
   // Calls accepted and waiting for a slot there.
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -173,7 +173,8 @@
   if (!best) {
     return {};
   }
-  return {best->finish, endpoints_.measure(best->index).ReportAge(now)};
+  return {best->finish, endpoints_.measure(best->index).ReportAge(now),
+          endpoints_.ColdBasisOf(*best, now)};
 }
 
 void MeasuredBalancer::Send(const WaitingCall& call,
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -147,6 +147,18 @@
          cold_.MayTakeOne(look, usual_time(), now);
 }
 
+std::optional<ColdBasis> MeasuredEndpoints::ColdBasisOf(
+    const MeasuredCandidate& candidate,
+    TimePoint now) const {
+  std::optional<ColdBasis> basis = cold_.BasisOf(candidate.index, now);
+  if (basis) {
+    basis->calls = candidate.calls;
+    basis->slots = candidate.slots;
+    basis->asked_age = measures_[candidate.index].AskedAge(now);
+  }
+  return basis;
+}
+
 // Others are as free at any time, so that without this it would hardly be asked
 // and nobody would learn that its limit is gone.
 bool MeasuredEndpoints::IsDue(const MeasuredCandidate& candidate) const {
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -113,6 +113,10 @@
   // joined and this host is to turn to it later.
   MeasuredCandidate WeighForLook(EndpointIndex index, TimePoint now) const;
 
+  // What a call that goes to a cold endpoint rests on; null for others.
+  std::optional<ColdBasis> ColdBasisOf(const MeasuredCandidate& candidate,
+                                       TimePoint now) const;
+
   // Whether the endpoints report at all.
   bool AreReporting() const;
   std::span<const EndpointIndex> usable() const { return roster_.usable(); }
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -333,6 +333,11 @@
   ++attempt_;
   ++sends_;
   last_endpoint_ = placement.target.id;
+  if (basis_.cold) {
+    state_.counters().CountColdSend();
+    state_.call_log().WriteColdSend(call_id_, last_endpoint_, *basis_.cold,
+                                    Clock::now());
+  }
   SetNamed(request, names().deadline, std::to_string(remaining.count()));
   SetNamed(request, names().attempt, std::to_string(attempt_));
   SetNamed(request, names().expected_endpoint, placement.target.id.text());
--- a/proxy/call_log.cc
+++ b/proxy/call_log.cc
@@ -19,16 +19,20 @@
          record.left < Duration::zero();
 }
 
+std::optional<std::uint64_t> CallLog::TakeLine(TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  if (!budget_.Take(now)) {
+    ++dropped_since_;
+    ++dropped_;
+    return std::nullopt;
+  }
+  return std::exchange(dropped_since_, 0);
+}
+
 void CallLog::Write(const CallRecord& record, TimePoint now) {
-  std::uint64_t left_out = 0;
-  {
-    const std::lock_guard lock(mutex_);
-    if (!budget_.Take(now)) {
-      ++dropped_since_;
-      ++dropped_;
-      return;
-    }
-    left_out = std::exchange(dropped_since_, 0);
+  const std::optional<std::uint64_t> left_out = TakeLine(now);
+  if (!left_out) {
+    return;
   }
   spdlog::info(
       "event=call-ended call={} request={} customer={} service={} outcome={} "
@@ -39,7 +43,23 @@
       record.service.text(), ToString(record.outcome), record.status,
       record.failure, record.endpoint.text(), record.sends, ToMs(record.total),
       ToMs(record.at_endpoints), ToMs(record.left), ToMs(record.basis.expected),
-      ToMs(record.basis.report_age), record.routes_version, left_out);
+      ToMs(record.basis.report_age), record.routes_version, *left_out);
+}
+
+void CallLog::WriteColdSend(const CallId& call,
+                            const EndpointId& endpoint,
+                            const ColdBasis& basis,
+                            TimePoint now) {
+  const std::optional<std::uint64_t> left_out = TakeLine(now);
+  if (!left_out) {
+    return;
+  }
+  spdlog::info(
+      "event=cold-send call={} endpoint={} cold_ms={} word={} word_age_ms={} "
+      "calls={:.1f} slots={:.0f} asked_ms={} hosts={:.0f} left_out={}",
+      call.text(), endpoint.text(), ToMs(basis.left), ToString(basis.word),
+      ToMs(basis.word_age), basis.calls, basis.slots, ToMs(basis.asked_age),
+      basis.hosts, *left_out);
 }
 
 std::uint64_t CallLog::dropped() const {
--- a/proxy/call_log.h
+++ b/proxy/call_log.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <string_view>
 
 #include "core/ids.h"
@@ -56,9 +57,17 @@
   static constexpr double kLinesAtOnce = 40;
 
   void Write(const CallRecord& record, TimePoint now);
+  // The call goes to a cold endpoint, by what its host believes of it.
+  void WriteColdSend(const CallId& call,
+                     const EndpointId& endpoint,
+                     const ColdBasis& basis,
+                     TimePoint now);
   std::uint64_t dropped() const;
 
  private:
+  // The lines left out since the last one; null where this one is too.
+  std::optional<std::uint64_t> TakeLine(TimePoint now);
+
   mutable std::mutex mutex_;
   TokenBucket budget_{kLinesPerSecond, kLinesAtOnce};
   // Since the last line, and in all.
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -230,6 +230,7 @@
                                              : ParseEndpointLoad(load, now);
   if (report) {
     report->cold_for = ParseColdTime(FromBeast(answer[names_.cold_for]));
+    report->asked_before = now - started_at_;
   }
   return report;
 }
@@ -311,10 +312,10 @@
     const HttpRequest& request,
     TimePoint deadline,
     std::string expected_call) {
-  const TimePoint start = Clock::now();
+  started_at_ = Clock::now();
   ExchangeResult out;
   deadline_ = deadline;
-  StartTimer(std::min(deadline, start + limits_.connect_timeout));
+  StartTimer(std::min(deadline, started_at_ + limits_.connect_timeout));
   const bool connected = co_await Connect();
   if (connected && !aborted_) {
     StartTimer(deadline);
@@ -324,7 +325,7 @@
   out.result = ResultOf(out.result, out.answer.has_value());
   out.wrote = wrote_;
   out.bytes = bytes_;
-  out.took = Clock::now() - start;
+  out.took = Clock::now() - started_at_;
   const bool is_draining =
       (out.report && out.report->mode == EndpointMode::kDraining) ||
       (out.signals && out.signals->leaving);
--- a/proxy/endpoint_exchange.h
+++ b/proxy/endpoint_exchange.h
@@ -88,6 +88,7 @@
   Tcp::socket socket_;
   beast::flat_buffer buf_;
   asio::steady_timer timer_;
+  TimePoint started_at_;
   TimePoint deadline_;
   std::optional<SendResult> aborted_;
   // How long the endpoint keeps the connection unused, where it said so.
--- a/proxy/proxy_counters.cc
+++ b/proxy/proxy_counters.cc
@@ -12,6 +12,8 @@
       << "damasktack_calls_in_flight " << calls_in_flight_ << "\n"
       << "# TYPE damasktack_stopping gauge\n"
       << "damasktack_stopping " << (stopping ? 1 : 0) << "\n"
+      << "# TYPE damasktack_cold_sends_total counter\n"
+      << "damasktack_cold_sends_total " << cold_sends_ << "\n"
       << "# TYPE damasktack_failures_total counter\n";
   for (std::size_t n = 0; n < failures_.size(); ++n) {
     out << "damasktack_failures_total{kind=\""
--- a/proxy/proxy_counters.h
+++ b/proxy/proxy_counters.h
@@ -20,6 +20,9 @@
     return failures_[static_cast<std::size_t>(kind)];
   }
 
+  // A call was sent to an endpoint that is believed cold.
+  void CountColdSend() { ++cold_sends_; }
+
   std::atomic<std::int64_t>& connections() { return connections_; }
   std::atomic<std::int64_t>& calls_in_flight() { return calls_in_flight_; }
   std::int64_t calls_in_flight() const { return calls_in_flight_; }
@@ -29,6 +32,7 @@
 
  private:
   std::array<std::atomic<std::uint64_t>, kFailureKindCount> failures_{};
+  std::atomic<std::uint64_t> cold_sends_ = 0;
   std::atomic<std::int64_t> connections_ = 0;
   std::atomic<std::int64_t> calls_in_flight_ = 0;
 };
--- a/tests/policy/test_cold_allowance.cc
+++ b/tests/policy/test_cold_allowance.cc
@@ -75,7 +75,7 @@
     std::uint64_t sent = 0;
     for (std::uint64_t n = 0; n < static_cast<std::uint64_t>(hosts); ++n) {
       ColdAllowance allowance(n * 0x9E3779B97F4A7C15ULL + 1);
-      allowance.OnCold(kStart + seconds(100));
+      allowance.OnCold(ColdWord::kList, kStart + seconds(100), kStart);
       for (TimePoint now = kStart; now < kStart + seconds(100);
            now += milliseconds(20)) {
         if (allowance.Allows(2.0 / hosts, now)) {
@@ -92,9 +92,9 @@
 TEST_CASE("one that is warm takes calls whatever the share") {
   ColdAllowance allowance(7);
   CHECK(allowance.Allows(0, kStart));
-  allowance.OnCold(kStart + seconds(1));
+  allowance.OnCold(ColdWord::kList, kStart + seconds(1), kStart);
   CHECK(!allowance.Allows(0, kStart));
-  allowance.OnCold(kStart);
+  allowance.OnCold(ColdWord::kProbe, kStart, kStart);
   CHECK(allowance.Allows(0, kStart));
 }
 
