Cold endpoints get calls in turns that are dealt to numbered hosts

What callers saw: a cold endpoint got more requests in a second than it bears and crashed under them, with the calls it had.

Cause: where slots / usual time stayed below the bound, a fresh report of a free slot let any host send. The bound of a second over all hosts then rested on each send holding its slot for the usual time, and on each host's report being true when its call arrives. Callers who leave, errors and resets free a slot at once, the report says so truthfully, and the next host takes it; and hosts that are late act on one report together. Class: a bound over all hosts that holds only while each host's view is young.

Change: seeds give each host that follows them a number; a hash that all hosts compute alike deals the turns of an endpoint, half of its bound, to numbers; a turn is one call in 1.25 s. No host needs to know what others send, no report is part of the bound, and it still holds where each turn is taken by two hosts (a number that has passed on, a count of seats that has grown). The report of a free slot stays, so that calls do not queue. Hosts without a number keep to their part of half the rate, now for every length of work.

--- a/fleet/feed_options.h
+++ b/fleet/feed_options.h
@@ -46,6 +46,11 @@
   // Between two hellos to a seed that this host follows.
   Duration hello = std::chrono::milliseconds(1500);
 
+  // After a loss of power hosts come back one after the other, and the first
+  // ones would take the fleet's turns at an endpoint for theirs. A seat counts
+  // from so long after the start, when all have said hello three times.
+  Duration seat_settling = std::chrono::milliseconds(5000);
+
   // An update with more entries of endpoints goes out in parts, so that no size
   // of a fleet makes a frame that peers refuse or that holds up their calls.
   std::size_t most_part_entries = 1000;
--- a/fleet/feed_peers.cc
+++ b/fleet/feed_peers.cc
@@ -31,6 +31,16 @@
   return hosts;
 }
 
+std::int64_t FeedPeers::MostFollowersElsewhere() const {
+  std::int64_t most = 0;
+  for (const auto& [host, peer] : peers_) {
+    if (peer.IsSeed()) {
+      most = std::max(most, peer.hello->followers);
+    }
+  }
+  return most;
+}
+
 bool FeedPeers::HaveWordOfOutage(Duration holds, TimePoint now) const {
   return std::ranges::any_of(peers_, [&](const auto& it) {
     return it.second.HasWordOfOutage(holds, now);
--- a/fleet/feed_peers.h
+++ b/fleet/feed_peers.h
@@ -68,6 +68,9 @@
   // another seed it is counted twice, which makes shares smaller.
   std::int64_t CountHosts() const;
 
+  // The most hosts that follow another seed.
+  std::int64_t MostFollowersElsewhere() const;
+
   bool HaveWordOfOutage(Duration holds, TimePoint now) const;
   // Whether the seed does for this host what it can.
   bool IsAttendedBy(const SocketAddress& seed,
--- a/fleet/peer_message.h
+++ b/fleet/peer_message.h
@@ -41,6 +41,7 @@
                                  FeedUpdate,
                                  FeedPart,
                                  FeedOutage,
+                                 FeedSeat,
                                  CrashReport,
                                  EndpointRateReport>;
 
--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -34,6 +34,8 @@
   rank_ = own == options_.seeds.end() ? FeedHello::kNoSeed
                                       : own - options_.seeds.begin();
   peers_.SetRank(rank_);
+  seating_.SetRank(IsSeed() ? std::optional(rank_) : std::nullopt,
+                   static_cast<std::int64_t>(options_.seeds.size()));
   const std::string& name = options_.self.text();
   constexpr unsigned kRankBits = 20;
   const auto drawn = XXH3_64bits(name.data(), name.size()) ^ random_();
@@ -260,6 +262,12 @@
   return Jittered(backoff_);
 }
 
+FleetSeat PublishedFeed::Seat(TimePoint now) const {
+  const bool is_settled =
+      started_at_ && now - *started_at_ >= options_.seat_settling;
+  return is_settled ? seating_.Own(now) : FleetSeat();
+}
+
 // From half of it to one and a half, so that hosts that lost the store together
 // do not come back together.
 Duration PublishedFeed::Jittered(Duration time) {
@@ -271,8 +279,9 @@
   return time * UniformBelow(random_, kScale) / kScale;
 }
 
-FeedHello PublishedFeed::Hello() const {
-  return {rank_, options_.address, view_.revision(), peers_.CountFollowers()};
+FeedHello PublishedFeed::Hello(TimePoint now) const {
+  return {rank_, options_.address, view_.revision(), peers_.CountFollowers(),
+          seating_.Own(now)};
 }
 
 std::int64_t PublishedFeed::KnownHosts() const {
@@ -280,26 +289,26 @@
   return is_head ? peers_.CountHosts() : told_hosts_;
 }
 
-void PublishedFeed::OnLinkUp(const HostId& host,
-                             TimePoint /*now*/,
-                             Outbox& out) {
+void PublishedFeed::OnLinkUp(const HostId& host, TimePoint now, Outbox& out) {
   peers_.OnLinkUp(host);
-  Greet(out);
+  seating_.OnLinkUp(host);
+  Greet(now, out);
 }
 
 // A host that reads a copy says hello when it has it: told before what it has,
 // its seed would send it all of that.
-void PublishedFeed::Greet(Outbox& out) {
+void PublishedFeed::Greet(TimePoint now, Outbox& out) {
   if (awaits_copy_) {
     return;
   }
   for (const HostId& it : peers_.TakeUngreeted()) {
-    out.Send(it, Hello());
+    out.Send(it, Hello(now));
   }
 }
 
-void PublishedFeed::OnLinkDown(const HostId& host, TimePoint /*now*/) {
+void PublishedFeed::OnLinkDown(const HostId& host, TimePoint now) {
   peers_.OnLinkDown(host);
+  seating_.OnLinkDown(host, now);
 }
 
 bool PublishedFeed::HasNewsFor(const FeedPeer& peer) const {
@@ -322,14 +331,9 @@
                               TimePoint now,
                               Outbox& out) {
   if (const auto* hello = std::get_if<FeedHello>(&message)) {
-    FeedPeer& peer = peers_.at(host);
-    peer.hello = *hello;
-    peer.sent = hello->revision;
-    const bool is_behind =
-        peer.sent < view_.revision() || peer.sent_confirmed == TimePoint();
-    if (peers_.Follows(peer) && confirmed_at_ && is_behind) {
-      SendUpdate({host}, peer.sent, now, out);
-    }
+    TakeHello(host, *hello, now, out);
+  } else if (const auto* given = std::get_if<FeedSeat>(&message)) {
+    seating_.OnSeat(host, given->seat);
   } else if (const auto* update = std::get_if<FeedUpdate>(&message)) {
     Take(host, *update, {}, now, out);
   } else if (const auto* part = std::get_if<FeedPart>(&message)) {
@@ -340,6 +344,28 @@
   }
 }
 
+void PublishedFeed::TakeHello(const HostId& host,
+                              const FeedHello& hello,
+                              TimePoint now,
+                              Outbox& out) {
+  FeedPeer& peer = peers_.at(host);
+  peer.hello = hello;
+  peer.sent = hello.revision;
+  const bool is_behind =
+      peer.sent < view_.revision() || peer.sent_confirmed == TimePoint();
+  if (peers_.Follows(peer) && confirmed_at_ && is_behind) {
+    SendUpdate({host}, peer.sent, now, out);
+  }
+  seating_.HearSeats(hello.seat.seats);
+  if (IsSeed() && !peer.IsSeed()) {
+    const FleetSeat seat =
+        seating_.SeatOf(host, hello.seat, peers_.MostFollowersElsewhere(), now);
+    if (seat != hello.seat) {
+      out.Send(host, FeedSeat{seat});
+    }
+  }
+}
+
 bool PublishedFeed::IsNextPart(const HostId& host,
                                const FeedPart& part,
                                TimePoint now) {
@@ -369,7 +395,7 @@
   if (IsNextPart(host, part, now)) {
     Take(host, part.update, part.range, now, out);
   } else if (part.range.IsLast()) {
-    out.Send(host, Hello());
+    out.Send(host, Hello(now));
   }
 }
 
@@ -383,7 +409,7 @@
   // still to come.
   if (update.after > view_.revision()) {
     if (!peers_.at(host).transfer.IsUnderWay(now)) {
-      out.Send(host, Hello());
+      out.Send(host, Hello(now));
     }
     return;
   }
@@ -392,8 +418,9 @@
                  now);
   if (view_.TakeMissesBook()) {
     peers_.at(host).transfer = {};
-    out.Send(host,
-             FeedHello{rank_, options_.address, 0, peers_.CountFollowers()});
+    FeedHello hello = Hello(now);
+    hello.revision = 0;
+    out.Send(host, std::move(hello));
     return;
   }
   if (!range.IsLast()) {
@@ -464,7 +491,7 @@
 }
 
 void PublishedFeed::Feed(TimePoint now, Outbox& out) {
-  Greet(out);
+  Greet(now, out);
   KeepLinksAlive(now, out);
   TellOutage(now, out);
   if (!confirmed_at_) {
@@ -505,7 +532,7 @@
   next_hello_ = now + options_.hello;
   for (const auto& [host, peer] : peers_.all()) {
     if (peers_.IsFeeder(peer) || (IsSeed() && peer.IsSeed())) {
-      out.Send(host, Hello());
+      out.Send(host, Hello(now));
     }
   }
 }
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -7,6 +7,7 @@
 #include "core/random.h"
 #include "fleet/feed_options.h"
 #include "fleet/feed_peers.h"
+#include "fleet/feed_seating.h"
 #include "fleet/fleet_module.h"
 #include "fleet/published_messages.h"
 #include "fleet/published_view.h"
@@ -62,6 +63,9 @@
   // How many hosts the fleet has, this one included, as its feeder says or as
   // it counts them itself; 0 where neither is known.
   std::int64_t KnownHosts() const;
+  // This host's place among them; none where it has not been told, or not for
+  // long enough to know how many there are.
+  FleetSeat Seat(TimePoint now) const;
 
  private:
   void FindRank();
@@ -110,8 +114,12 @@
             const EndpointRange& range,
             TimePoint now,
             Outbox& out);
-  FeedHello Hello() const;
-  void Greet(Outbox& out);
+  FeedHello Hello(TimePoint now) const;
+  void Greet(TimePoint now, Outbox& out);
+  void TakeHello(const HostId& host,
+                 const FeedHello& hello,
+                 TimePoint now,
+                 Outbox& out);
   // From when on the missing feed is noticed.
   TimePoint UnfedSince(TimePoint now) const;
   // A link on which nothing is said counts as dead.
@@ -129,6 +137,7 @@
   std::int64_t told_hosts_ = 0;
   PublishedView view_;
   FeedPeers peers_;
+  FeedSeating seating_;
   FeedCounters counters_;
 
   std::optional<TimePoint> started_at_;
--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -197,7 +197,10 @@
   const std::int64_t hosts = feed_.KnownHosts();
   const bool has_new_size =
       hosts != told_hosts_ && IsNewSize(told_hosts_, hosts);
-  const bool changed = feed_.view().TakeChanged() || has_new_size;
+  const FleetSeat seat = feed_.Seat(now);
+  const bool has_new_seat = seat != std::exchange(told_seat_, seat);
+  const bool changed =
+      feed_.view().TakeChanged() || has_new_size || has_new_seat;
   std::unique_lock telling(telling_, std::defer_lock);
   if (changed) {
     // Taken before the other lock is let go, so that no older state is told
@@ -211,7 +214,7 @@
     }
     const PublishedView& view = feed_.view();
     state = {view.routes(), view.Endpoints(), view.drained_zones().InForce(),
-             told_hosts_};
+             told_hosts_, seat};
   }
   lock.unlock();
   if (changed) {
--- a/fleet/published_loop.h
+++ b/fleet/published_loop.h
@@ -25,6 +25,8 @@
   std::vector<ZoneId> drained_zones;
   // Hosts that share the endpoints; 0 where it is not known.
   std::int64_t hosts = 0;
+  // This host's place among them.
+  FleetSeat seat;
 };
 
 // Hears of changes, on a thread of the loop or of the links; must not block
@@ -109,6 +111,7 @@
   std::vector<SocketAddress> seeds_;
   // Hosts of the fleet as the owner was told last.
   std::int64_t told_hosts_ = 0;
+  FleetSeat told_seat_;
 };
 
 }  // namespace damasktack
--- a/fleet/published_messages.cc
+++ b/fleet/published_messages.cc
@@ -98,10 +98,9 @@
 }  // namespace
 
 Json FeedHello::ToJson() const {
-  return Json{{"rank", rank},
-              {"address", ToString(address)},
-              {"revision", revision},
-              {"followers", followers}};
+  return Json{{"rank", rank},         {"address", ToString(address)},
+              {"revision", revision}, {"followers", followers},
+              {"seat", seat.number},  {"seats", seat.seats}};
 }
 
 leaf::result<FeedHello> FeedHello::Parse(const Json& json,
@@ -112,6 +111,8 @@
   reader.Read("address", hello.address);
   reader.Read("revision", hello.revision);
   reader.ReadOptional("followers", hello.followers, 0, kMostCount);
+  reader.ReadOptional("seat", hello.seat.number, FleetSeat::kNone, kMostCount);
+  reader.ReadOptional("seats", hello.seat.seats, 0, kMostCount);
   BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
   return hello;
 }
@@ -201,6 +202,26 @@
   return part;
 }
 
+Json FeedSeat::ToJson() const {
+  return Json{{"seat", seat.number}, {"seats", seat.seats}};
+}
+
+leaf::result<FeedSeat> FeedSeat::Parse(const Json& json,
+                                       const std::string& path) {
+  FeedSeat message;
+  JsonReader reader(json, path);
+  reader.Read("seat", message.seat.number, 0, kMostCount);
+  reader.Read("seats", message.seat.seats, 1, kMostCount);
+  BOOST_LEAF_CHECK(reader.FinishIgnoringUnknown());
+  if (message.seat.number >= message.seat.seats) {
+    return Fail(ErrorKind::kOutOfRange, path + ".seat",
+                std::to_string(message.seat.number) + " of " +
+                    std::to_string(message.seat.seats),
+                "check that the sender is a daemon of this system");
+  }
+  return message;
+}
+
 Json FeedOutage::ToJson() const {
   return Json{{"hosts", hosts}};
 }
--- a/fleet/published_messages.h
+++ b/fleet/published_messages.h
@@ -9,6 +9,7 @@
 #include "core/json_reader.h"
 #include "fleet/published_part.h"
 #include "fleet/published_source.h"
+#include "policy/fleet_seat.h"
 
 namespace damasktack {
 
@@ -26,6 +27,8 @@
   Revision revision = 0;
   // Hosts that are no seeds and that the sender feeds.
   std::int64_t followers = 0;
+  // The one that the sender has; none where it has not been told.
+  FleetSeat seat;
 
   static constexpr std::int64_t kNoSeed = 1'000'000;
 
@@ -84,6 +87,19 @@
   bool operator==(const FeedPart&) const = default;
 };
 
+// A seed gives a host that follows it another seat than that host has said.
+struct FeedSeat {
+  static constexpr std::string_view kKind = "feed-seat";
+
+  FleetSeat seat;
+
+  Json ToJson() const;
+  static leaf::result<FeedSeat> Parse(const Json& json,
+                                      const std::string& path);
+
+  bool operator==(const FeedSeat&) const = default;
+};
+
 // The sender asks the store and gets no answer, or was told so. Without a word
 // a follower cannot tell such a seed from one that is dead, and asks the store
 // itself.
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -192,6 +192,7 @@
   if (!state.routes) {
     return;
   }
+  state_.SetSeat(state.seat);
   state_.SetRouting(std::make_shared<RoutingTable>(
                         state.routes, MakeServices(state, settings_.regions)),
                     state.hosts > 0 ? state.hosts : settings_.store.hosts,
@@ -218,10 +219,10 @@
       });
   spdlog::info(
       "event=published-in-force version={} routes={} endpoints={} "
-      "leaving={} drained_zones={} hosts={}",
+      "leaving={} drained_zones={} hosts={} seat={}/{}",
       state.routes->version, state.routes->routes.size(),
       state.endpoints.size(), leaving, JoinZones(state.drained_zones),
-      state.hosts);
+      state.hosts, state.seat.number, state.seat.seats);
 }
 
 void StoreDaemon::Stop() {
--- a/policy/balancer.h
+++ b/policy/balancer.h
@@ -15,6 +15,7 @@
 #include "policy/endpoint_report.h"
 #include "policy/endpoint_signals.h"
 #include "policy/endpoint_status.h"
+#include "policy/fleet_seat.h"
 
 namespace damasktack {
 
@@ -62,6 +63,10 @@
                           std::int64_t hosts,
                           TimePoint now) = 0;
 
+  // This host's place among those hosts, by which it shares with them what an
+  // endpoint bears.
+  virtual void SetSeat(const FleetSeat& /*seat*/) {}
+
   // Takes a call in; `out` may hold its dispatch or rejection at once.
   virtual void Offer(const CallOffer& offer, TimePoint now, Decisions& out) = 0;
   // Takes a waiting call out, when its caller went away. False where the call
--- a/policy/cold_allowance.h
+++ b/policy/cold_allowance.h
@@ -5,6 +5,7 @@
 
 #include "core/time.h"
 #include "policy/cold_basis.h"
+#include "policy/seat_turns.h"
 #include "policy/shared_rate.h"
 
 namespace damasktack {
@@ -32,17 +33,24 @@
   ColdWord word() const { return word_; }
   TimePoint told_at() const { return told_at_; }
 
-  // Whether a call may go there; `share` is this host's part of the rate, in
-  // calls a second.
+  // Where the host has a seat: whether it has a turn at the endpoint.
+  SeatTurns& turns() { return turns_; }
+  bool HasTurn(TimePoint now) const { return turns_.HasOne(now); }
+  // Where it has none: whether its part of the rate, `share` calls a second,
+  // lets a call through.
   bool Allows(double share, TimePoint now) const {
     return !IsCold(now) || rate_.Allows(share, now);
   }
-  void OnSend(TimePoint now) { rate_.OnSend(now); }
+  void OnSend(TimePoint now) {
+    turns_.OnSend(now);
+    rate_.OnSend(now);
+  }
 
  private:
   TimePoint cold_until_;
   ColdWord word_ = ColdWord::kList;
   TimePoint told_at_;
+  SeatTurns turns_;
   SharedRate rate_;
 };
 
--- a/policy/cold_basis.h
+++ b/policy/cold_basis.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "core/time.h"
+#include "policy/fleet_seat.h"
 
 namespace damasktack {
 
@@ -30,7 +31,8 @@
   double calls = 0;
   double slots = 0;
   Duration asked_age{};
-  // Hosts that share out what the endpoint bears.
+  // This host's seat, and the hosts that share the endpoint as it believes.
+  FleetSeat seat;
   double hosts = 0;
 
   bool operator==(const ColdBasis&) const = default;
--- a/policy/cold_endpoints.cc
+++ b/policy/cold_endpoints.cc
@@ -13,6 +13,9 @@
 // calls at one moment, those of the windows that have begun and of the next
 // ones come within a second.
 constexpr double kSharedOut = 0.5;
+// The part of the bound that is given out in turns: a turn is counted by two
+// hosts where one of them has not heard yet that it lost its seat.
+constexpr double kSharedTurns = 0.5;
 // Fewer calls than this are none; estimates that fade are no whole numbers.
 constexpr double kIdleCalls = 0.5;
 
@@ -22,8 +25,27 @@
                                std::int64_t hosts,
                                TimePoint now) {
   cold_time_ = service.cold_time;
-  rate_ = service.cold_rate;
   fleet_.Set(hosts, service.endpoints.size(), now);
+  if (rate_ != service.cold_rate) {
+    rate_ = service.cold_rate;
+    DrawAllTurns();
+  }
+}
+
+void ColdEndpoints::SetSeat(const FleetSeat& seat) {
+  seat_ = seat;
+  DrawAllTurns();
+}
+
+void ColdEndpoints::DrawAllTurns() {
+  for (EndpointIndex n = 0; n < ids_.size(); ++n) {
+    allowances_[n].turns().Draw(ids_[n], Turns(), seat_);
+  }
+}
+
+int ColdEndpoints::Turns() const {
+  const double most = rate_ * options_.overshoot + options_.slack;
+  return static_cast<int>(most * kSharedTurns);
 }
 
 // What the endpoints of a zone had in their caches is gone when the zone is
@@ -33,10 +55,13 @@
                              const EndpointSpec& spec,
                              TimePoint now) {
   allowances_.resize(std::max<std::size_t>(allowances_.size(), index + 1));
+  ids_.resize(allowances_.size());
   ColdAllowance& allowance = allowances_[index];
   if (before == nullptr) {
     const std::string names = host_.text() + spec.id.text();
     allowance = ColdAllowance(XXH3_64bits(names.data(), names.size()));
+    ids_[index] = spec.id;
+    allowance.turns().Draw(spec.id, Turns(), seat_);
   }
   allowance.OnCold(ColdWord::kList,
                    std::max(allowance.cold_until(), spec.cold_until), now);
@@ -47,26 +72,22 @@
   }
 }
 
-bool ColdEndpoints::IsBoundBySlots(double slots, Duration usual_time) const {
-  const double most = slots / std::chrono::duration<double>(usual_time).count();
-  return most <= rate_ * options_.overshoot + options_.slack;
-}
-
 double ColdEndpoints::Share(TimePoint now) const {
   return rate_ * kSharedOut / fleet_.Count(now);
 }
 
-bool ColdEndpoints::MayTakeOne(const ColdLook& look,
-                               Duration usual_time,
-                               TimePoint now) const {
+bool ColdEndpoints::IsAllowed(EndpointIndex index, TimePoint now) const {
+  const ColdAllowance& it = allowances_[index];
+  return GoesByTurns() ? it.HasTurn(now) : it.Allows(Share(now), now);
+}
+
+bool ColdEndpoints::MayTakeOne(const ColdLook& look, TimePoint now) const {
   if (!IsCold(look.index, now)) {
     return true;
   }
-  if (IsBoundBySlots(look.slots, usual_time)) {
-    return look.is_known && look.calls + 1 <= look.slots;
-  }
-  return look.is_known && look.calls < kIdleCalls &&
-         allowances_[look.index].Allows(Share(now), now);
+  const bool has_room =
+      GoesByTurns() ? look.calls + 1 <= look.slots : look.calls < kIdleCalls;
+  return look.is_known && has_room && IsAllowed(look.index, now);
 }
 
 std::optional<ColdBasis> ColdEndpoints::BasisOf(EndpointIndex index,
@@ -79,16 +100,13 @@
   basis.word = it.word();
   basis.word_age = now - it.told_at();
   basis.left = it.cold_until() - now;
+  basis.seat = seat_;
   basis.hosts = fleet_.Count(now);
   return basis;
 }
 
-bool ColdEndpoints::IsWorthALook(EndpointIndex index,
-                                 double slots,
-                                 Duration usual_time,
-                                 TimePoint now) const {
-  return !IsCold(index, now) || IsBoundBySlots(slots, usual_time) ||
-         allowances_[index].Allows(Share(now), now);
+bool ColdEndpoints::IsWorthALook(EndpointIndex index, TimePoint now) const {
+  return !IsCold(index, now) || IsAllowed(index, now);
 }
 
 }  // namespace damasktack
--- a/policy/cold_endpoints.h
+++ b/policy/cold_endpoints.h
@@ -31,11 +31,12 @@
 // may send them a call. Pure.
 //
 // The load that it answers: a zone's endpoints come back cold and look free to
-// every host of the fleet. Where the slots of an endpoint cannot take more
-// calls in a second than it tolerates, a free slot is enough: the host sends
-// none that would queue. Elsewhere it keeps to its part of the rate, and sends
-// to an idle endpoint only, so that hosts which take the fleet for smaller than
-// it is do not add to each other's calls.
+// every host of the fleet. A free slot shows that a call would not queue; it
+// does not bound the calls of a second, since callers leave and errors free
+// slots early, and since many hosts may go by one report. So each endpoint
+// takes calls from the few hosts whose seats have its turns only. A host
+// without a seat keeps to its part of the rate, and sends to an idle endpoint
+// only.
 class ColdEndpoints {
  public:
   ColdEndpoints(const HostId& host, const ColdBoundOptions& options)
@@ -45,6 +46,8 @@
   void SetService(const ServiceSpec& service,
                   std::int64_t hosts,
                   TimePoint now);
+  // This host's place among the hosts from now on.
+  void SetSeat(const FleetSeat& seat);
   // What the list says of an endpoint; `before` is what it said last, null
   // where the index is a new process's.
   void OnListed(EndpointIndex index,
@@ -67,26 +70,29 @@
   bool IsCold(EndpointIndex index, TimePoint now) const {
     return rate_ > 0 && IsSlow(index, now);
   }
-  // Whether a call may go there; `usual_time` is that of an execution.
-  bool MayTakeOne(const ColdLook& look,
-                  Duration usual_time,
-                  TimePoint now) const;
+  // Whether a call may go there.
+  bool MayTakeOne(const ColdLook& look, TimePoint now) const;
   // What a call that goes there now rests on; null where it bears any number.
   std::optional<ColdBasis> BasisOf(EndpointIndex index, TimePoint now) const;
   // Whether a report could show that a call may go there.
-  bool IsWorthALook(EndpointIndex index,
-                    double slots,
-                    Duration usual_time,
-                    TimePoint now) const;
+  bool IsWorthALook(EndpointIndex index, TimePoint now) const;
 
  private:
-  bool IsBoundBySlots(double slots, Duration usual_time) const;
+  // The turns at each endpoint, of all hosts; none where it takes too few calls
+  // to be shared out in this way.
+  int Turns() const;
+  bool GoesByTurns() const { return seat_.IsKnown() && Turns() > 0; }
+  void DrawAllTurns();
+  // Whether this host may send a call there, whatever the endpoint reports.
+  bool IsAllowed(EndpointIndex index, TimePoint now) const;
   // This host's part of the rate, in calls a second.
   double Share(TimePoint now) const;
 
   const HostId host_;
   const ColdBoundOptions options_;
   std::vector<ColdAllowance> allowances_;
+  std::vector<EndpointId> ids_;
+  FleetSeat seat_;
   Duration cold_time_{};
   double rate_ = 0;
   FleetSize fleet_;
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -34,6 +34,7 @@
   void SetService(const ServiceSpec& service,
                   std::int64_t hosts,
                   TimePoint now) override;
+  void SetSeat(const FleetSeat& seat) override { endpoints_.SetSeat(seat); }
   void Offer(const CallOffer& offer, TimePoint now, Decisions& out) override;
   bool Withdraw(CallToken token, TimePoint now) override;
   AfterSend Finish(const CallOffer& offer,
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -144,7 +144,7 @@
   const ColdLook look{candidate.index, candidate.is_fresh, candidate.calls,
                       candidate.slots};
   return restraints_.MayTakeOne(candidate.index, now) &&
-         cold_.MayTakeOne(look, usual_time(), now);
+         cold_.MayTakeOne(look, now);
 }
 
 std::optional<ColdBasis> MeasuredEndpoints::ColdBasisOf(
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -53,6 +53,7 @@
   void SetService(const ServiceSpec& service,
                   std::int64_t hosts,
                   TimePoint now);
+  void SetSeat(const FleetSeat& seat) { cold_.SetSeat(seat); }
 
   // What is usual is guessed from the first call's objective.
   void Expect(const CallOffer& offer);
@@ -106,8 +107,7 @@
                     EndpointIndex index,
                     TimePoint now) const {
     return IsAllowed(call, index) && restraints_.MayTakeOne(index, now) &&
-           cold_.IsWorthALook(index, roster_.records()[index].slots,
-                              usual_time(), now);
+           cold_.IsWorthALook(index, now);
   }
   // For a look at an endpoint that is not fresh: its cost, less where it has
   // joined and this host is to turn to it later.
--- a/proxy/call_log.cc
+++ b/proxy/call_log.cc
@@ -56,10 +56,11 @@
   }
   spdlog::info(
       "event=cold-send call={} endpoint={} cold_ms={} word={} word_age_ms={} "
-      "calls={:.1f} slots={:.0f} asked_ms={} hosts={:.0f} left_out={}",
+      "calls={:.1f} slots={:.0f} asked_ms={} hosts={:.0f} seat={}/{} "
+      "left_out={}",
       call.text(), endpoint.text(), ToMs(basis.left), ToString(basis.word),
       ToMs(basis.word_age), basis.calls, basis.slots, ToMs(basis.asked_age),
-      basis.hosts, *left_out);
+      basis.hosts, basis.seat.number, basis.seat.seats, *left_out);
 }
 
 std::uint64_t CallLog::dropped() const {
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -48,6 +48,7 @@
                                                            on_waiting_();
                                                          }
                                                        });
+      dispatcher->SetSeat(seat_);
     }
     dispatcher->SetService(service, hosts, now);
     // What peers said of an endpoint may come before its entry.
@@ -59,6 +60,14 @@
   routing_ = std::move(table);
 }
 
+void ProxyState::SetSeat(const FleetSeat& seat) {
+  const std::unique_lock lock(mutex_);
+  seat_ = seat;
+  for (const auto& [id, dispatcher] : dispatchers_) {
+    dispatcher->SetSeat(seat);
+  }
+}
+
 std::unique_ptr<Balancer> ProxyState::MakeBalancer() const {
   if (options_.measures_before_sending) {
     return std::make_unique<MeasuredBalancer>(options_.measured,
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -25,6 +25,11 @@
   balancer_->SetService(service, hosts, now);
 }
 
+void ServiceDispatcher::SetSeat(const FleetSeat& seat) {
+  const std::lock_guard lock(mutex_);
+  balancer_->SetSeat(seat);
+}
+
 void ServiceDispatcher::Offer(const CallOffer& offer,
                               OnPlaced on_placed,
                               TimePoint now) {
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -60,6 +60,8 @@
                     EndpointRates& rates,
                     std::function<void()> on_waiting);
 
+  // See Balancer::SetSeat.
+  void SetSeat(const FleetSeat& seat);
   void SetService(const ServiceSpec& service,
                   std::int64_t hosts,
                   TimePoint now);
--- a/standin/load_emulator.cc
+++ b/standin/load_emulator.cc
@@ -60,6 +60,9 @@
     hosts_[n].zone = static_cast<int>(n) % service_.zones;
     hosts_[n].balancer = factory(static_cast<int>(n), seed * 1000 + n);
     if (hosts_[n].balancer) {
+      if (load.have_seats) {
+        hosts_[n].balancer->SetSeat(SeatOf(n));
+      }
       hosts_[n].balancer->SetService(
           MakeSpec(service_.cold_from > Duration::zero()), believed_hosts_,
           now_);
@@ -67,6 +70,11 @@
   }
 }
 
+FleetSeat LoadEmulator::SeatOf(std::size_t host) const {
+  const auto number = static_cast<std::int64_t>(host);
+  return {number % believed_hosts_, believed_hosts_};
+}
+
 ServiceSpec LoadEmulator::MakeSpec(bool is_drained) const {
   ServiceSpec spec;
   spec.id = ServiceId("emulated");
--- a/standin/load_emulator.h
+++ b/standin/load_emulator.h
@@ -55,6 +55,8 @@
   int hosts = 18;
   // How many of them each host believes that there are; 0 where it knows.
   int believed_hosts = 0;
+  // Whether each host has a seat; hosts that believe in fewer share seats.
+  bool have_seats = true;
   double calls_per_second = 180;
   double middle_factor = 1;
   Duration objective = std::chrono::milliseconds(200);
@@ -195,6 +197,7 @@
   Duration Way(const Host& host, const Server& server) const;
   Duration DrawLateness();
   ServiceSpec MakeSpec(bool is_drained) const;
+  FleetSeat SeatOf(std::size_t host) const;
   bool IsOfColdPart(std::size_t server) const;
   void GiveBack();
 
--- a/tests/fleet/test_peer_codec.cc
+++ b/tests/fleet/test_peer_codec.cc
@@ -35,7 +35,7 @@
   const auto name =
       static_cast<DocumentName>(*rc::gen::inRange<int>(0, kDocumentCount));
   const auto number = *rc::gen::arbitrary<std::uint64_t>();
-  switch (*rc::gen::inRange(0, 7)) {
+  switch (*rc::gen::inRange(0, 8)) {
     case 0:
       return Heartbeat{number, *rc::gen::arbitrary<bool>()};
     case 1:
@@ -53,7 +53,12 @@
           EndpointId("e1")};
     case 5:
       return FeedHello{*rc::gen::inRange<std::int64_t>(0, 100),
-                       SocketAddress{"10.0.0.1", 80}, number};
+                       SocketAddress{"10.0.0.1", 80},
+                       number,
+                       4,
+                       {*rc::gen::inRange<std::int64_t>(-1, 64), 64}};
+    case 6:
+      return FeedSeat{{*rc::gen::inRange<std::int64_t>(0, 64), 64}};
     default:
       return DocumentAsk{name, {number, number / 3}};
   }
--- a/tests/standin/test_load_emulator.cc
+++ b/tests/standin/test_load_emulator.cc
@@ -170,9 +170,14 @@
     service.cold_rate = 0;
     CHECK(WorstColdSecond(service, load) > kMostInASecond);
     service.cold_rate = kColdRate;
-    CHECK(WorstColdSecond(service, load) <= kMostInASecond);
-    service.cold_part = 0.4;
-    CHECK(WorstColdSecond(service, load) <= kMostInASecond);
+    for (const bool have_seats : {true, false}) {
+      CAPTURE(have_seats);
+      load.have_seats = have_seats;
+      service.cold_part = 1;
+      CHECK(WorstColdSecond(service, load) <= kMostInASecond);
+      service.cold_part = 0.4;
+      CHECK(WorstColdSecond(service, load) <= kMostInASecond);
+    }
   }
 }
 
