A late answer to a probe no longer ends what was told of a cold endpoint since

What callers saw: calls to an endpoint that had just become cold, from a host that had been told so.

Cause: what an endpoint says on a probe replaced what the list says, or the end of a drain, by the moment at which it was read. A host that is paused or short of processor time reads an answer from before the endpoint became cold after the list's word, and takes the endpoint for warm: no bound holds there. Class: statements are put in order by when they are read, not by when they were made.

Change: an answer to a probe shortens the time only where the probe went out after the other word was heard; otherwise it only makes it longer. The next probe sets it right, since a host probes before it sends.

--- a/policy/cold_endpoints.cc
+++ b/policy/cold_endpoints.cc
@@ -90,6 +90,20 @@
   return look.is_known && has_room && IsAllowed(look.index, now);
 }
 
+// Read late, an answer from before the endpoint became cold would end what the
+// list has said since.
+void ColdEndpoints::OnColdTime(EndpointIndex index,
+                               Duration cold_for,
+                               TimePoint asked_at,
+                               TimePoint now) {
+  ColdAllowance& allowance = allowances_[index];
+  TimePoint until = now + cold_for;
+  if (asked_at < allowance.told_at()) {
+    until = std::max(until, allowance.cold_until());
+  }
+  allowance.OnCold(ColdWord::kProbe, until, now);
+}
+
 std::optional<ColdBasis> ColdEndpoints::BasisOf(EndpointIndex index,
                                                 TimePoint now) const {
   if (!IsCold(index, now)) {
--- a/policy/cold_endpoints.h
+++ b/policy/cold_endpoints.h
@@ -54,10 +54,12 @@
                 const EndpointSpec* before,
                 const EndpointSpec& spec,
                 TimePoint now);
-  // The endpoint's own word, on the answer to a probe.
-  void OnColdTime(EndpointIndex index, Duration cold_for, TimePoint now) {
-    allowances_[index].OnCold(ColdWord::kProbe, now + cold_for, now);
-  }
+  // The endpoint's own word, on the answer to a probe that went out at
+  // `asked_at`.
+  void OnColdTime(EndpointIndex index,
+                  Duration cold_for,
+                  TimePoint asked_at,
+                  TimePoint now);
   void OnSend(EndpointIndex index, TimePoint now) {
     allowances_[index].OnSend(now);
   }
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -348,7 +348,8 @@
   ++reports_;
   measures_[endpoint].OnReport(report, now);
   if (report.cold_for) {
-    cold_.OnColdTime(endpoint, *report.cold_for, now);
+    cold_.OnColdTime(endpoint, *report.cold_for, now - report.asked_before,
+                     now);
   }
   EndpointRecord& record = roster_.record(endpoint);
   const double load = (report.in_flight + report.queued) / record.slots;
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -291,6 +291,34 @@
   }
 }
 
+// Guards against a flood by a host that reads late what an endpoint said before
+// it became cold, and takes that for the end of it.
+TEST_CASE("an answer to a probe does not unsay what was told after it") {
+  Harness harness(8);
+  ServiceSpec service = MakeService(8);
+  service.cold_rate = 2;
+  harness.balancer.SetService(service, 100, harness.now);
+  service.endpoints[0].cold_until = harness.now + std::chrono::seconds(3);
+  harness.balancer.SetService(service, 100, harness.now);
+  EndpointReport late = MakeReport(0, 1);
+  late.cold_for = Duration::zero();
+  late.asked_before = milliseconds(300);
+  harness.now += milliseconds(200);
+  Decisions out;
+  harness.balancer.Report(0, late, harness.now, out);
+  int to_cold = 0;
+  for (CallToken token = 1; token <= 8; ++token) {
+    harness.now += milliseconds(4);
+    const CallOffer call = MakeCall(token, harness.now);
+    Decisions placed = harness.Offer(call);
+    REQUIRE(placed.dispatches.size() == 1);
+    to_cold += placed.dispatches[0].endpoint == 0 ? 1 : 0;
+    harness.End(call, placed.dispatches[0].endpoint, SendResult::kAnswered,
+                placed);
+  }
+  CHECK(to_cold <= 1);
+}
+
 // All endpoints of a service are cold and each has had what it tolerates from
 // this host. Calls wait without an end for a place that will not come in their
 // time; they are refused instead, and the first place that there is serves.
