A host that hears of a smaller fleet does not probe for all of it

What endpoints saw: many more probes for a second or two after a seed had started anew.

The budget of probes is the fleet's, divided by the hosts that a host was last told of. A seed that has just started counts the few hosts that have found it, tells them so, and each takes a fiftieth of the fleet for half of it.

Change: the budget goes by FleetSize, which believes in a smaller fleet after 30 s only, as repeats and stated limits do already. The guess of the first 5 s (as many hosts as endpoints) is left out here: a host that starts decides by its probes. The connections of a host to one endpoint are shared by the same count, and bounded by idle_per_endpoint besides: left.

--- a/policy/probe_planner.cc
+++ b/policy/probe_planner.cc
@@ -13,9 +13,11 @@
 void ProbePlanner::Share(std::size_t endpoints,
                          std::int64_t hosts,
                          TimePoint now) {
+  // Unlike calls that are shared out, probes are not held back while a host
+  // that starts does not know the fleet: it decides by them.
+  fleet_.Set(hosts, 0, now);
   const double rate = options_.probe_limit * options_.probe_part *
-                      static_cast<double>(endpoints) /
-                      static_cast<double>(std::max<std::int64_t>(hosts, 1));
+                      static_cast<double>(endpoints) / fleet_.Count(now);
   const std::chrono::duration<double> saving = options_.probe_saving;
   budget_.SetBounds(rate, std::max(options_.probe_burst, rate * saving.count()),
                     now);
--- a/policy/probe_planner.h
+++ b/policy/probe_planner.h
@@ -6,6 +6,7 @@
 
 #include "core/random.h"
 #include "core/token_bucket.h"
+#include "policy/fleet_size.h"
 #include "policy/measured_endpoints.h"
 
 namespace damasktack {
@@ -48,6 +49,7 @@
 
   const MeasuredBalancerOptions options_;
   MeasuredEndpoints& endpoints_;
+  FleetSize fleet_;
   TokenBucket budget_;
   // To be probed as soon as the owner asks.
   std::vector<EndpointIndex> wanted_;
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -291,6 +291,27 @@
   }
 }
 
+// Guards against hosts that probe for the whole fleet when a seed that has just
+// started has counted few of them.
+TEST_CASE("a host that hears of a smaller fleet does not probe more at once") {
+  Harness harness(8);
+  const auto rate = [&] {
+    return harness.balancer.Status(harness.now).table.probes_per_second;
+  };
+  harness.balancer.SetService(MakeService(8), 100, harness.now);
+  const double before = rate();
+  harness.now += std::chrono::seconds(1);
+  harness.balancer.SetService(MakeService(8), 2, harness.now);
+  CHECK(rate() <= before);
+  harness.balancer.SetService(MakeService(8), 100, harness.now);
+  CHECK(rate() <= before);
+  harness.now += std::chrono::minutes(1);
+  harness.balancer.SetService(MakeService(8), 50, harness.now);
+  harness.now += std::chrono::minutes(1);
+  harness.balancer.SetService(MakeService(8), 50, harness.now);
+  CHECK(rate() > before);
+}
+
 // Guards against a flood by a host that reads late what an endpoint said before
 // it became cold, and takes that for the end of it.
 TEST_CASE("an answer to a probe does not unsay what was told after it") {
