--- a/main/call_explainer.cc
+++ b/main/call_explainer.cc
@@ -86,9 +86,14 @@
   return text;
 }
 
-// Beliefs that bear on a call: those of its endpoint, and all that are not
-// about single endpoints.
-bool BearsOn(const LogLine& belief, const std::set<std::string>& endpoints) {
+// Beliefs that bear on a call: what it was sent to a cold endpoint by, those of
+// its endpoint, and all that are not about single endpoints or other calls.
+bool BearsOn(const LogLine& belief,
+             const std::string& call,
+             const std::set<std::string>& endpoints) {
+  if (belief.event == "cold-send") {
+    return belief.Value("call") == call;
+  }
   return belief.event != "endpoint-state" ||
          endpoints.contains(belief.Value("endpoint"));
 }
@@ -147,7 +152,7 @@
   for (const LogLine& it : lines) {
     const auto last = last_on.find(it.host);
     if (it.event != "call-ended" && last != last_on.end() &&
-        it.time <= last->second && BearsOn(it, endpoints)) {
+        it.time <= last->second && BearsOn(it, call, endpoints)) {
       beliefs[it.host].push_back(it);
     }
   }
--- a/tests/main/test_call_explainer.cc
+++ b/tests/main/test_call_explainer.cc
@@ -17,6 +17,10 @@
     "endpoint=e1 from=serving to=ejected reason=\"errors\"\n"
     "[2026-12-02 10:00:02.100] [damasktack] [info] event=endpoint-state "
     "endpoint=e9 from=serving to=ejected reason=\"errors\"\n"
+    "[2026-12-02 10:00:02.200] [damasktack] [info] event=cold-send call=c-1 "
+    "endpoint=e1 cold_ms=900 word=probe word_age_ms=20 calls=1.0 slots=2\n"
+    "[2026-12-02 10:00:02.300] [damasktack] [info] event=cold-send call=c-7 "
+    "endpoint=e1 cold_ms=800 word=probe word_age_ms=120 calls=0.0 slots=2\n"
     "[2026-12-02 10:00:02.500] [damasktack] [info] event=call-ended call=c-1 "
     "customer=r service=s outcome=not-run status=0 failure=shed endpoint=e1 "
     "sends=1 total_ms=2 at_endpoints_ms=1 left_ms=398 expected_ms=160 "
@@ -59,7 +63,7 @@
   for (const LogLine& it : found.beliefs) {
     events += it.event + " " + it.Value("endpoint") + ";";
   }
-  CHECK(events == "started ;store-lost ;endpoint-state e1;");
+  CHECK(events == "started ;store-lost ;endpoint-state e1;cold-send e1;");
 }
 
 TEST_CASE("a call without a line is said to have none") {
