Parts of an update are followed by a class of their own; turns of services without a rate cost nothing

Turns are neither dealt nor remembered where a service publishes no rate, and a host remembers one call for each of its turns instead of all of the last 1.25 s, which would have grown with the calls to endpoints that are warm. No decision changes.

Tests of policy, fleet and standin pass; 2,000 and 600 generated plays of the two properties before the last of these edits, 1,000 of the first after it.

--- a/fleet/feed_peers.h
+++ b/fleet/feed_peers.h
@@ -9,21 +9,11 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "fleet/feed_options.h"
+#include "fleet/feed_transfer.h"
 #include "fleet/published_messages.h"
 
 namespace damasktack {
 
-// An update that comes from a peer in parts, and where the next one begins.
-struct FeedTransfer {
-  Revision after = 0;
-  Revision current = 0;
-  EndpointId begin;
-  // A part that has not come by then was lost.
-  TimePoint until;
-
-  bool IsUnderWay(TimePoint now) const { return now < until; }
-};
-
 // One host that this one is linked to.
 struct FeedPeer {
   std::optional<FeedHello> hello;
--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -366,33 +366,12 @@
   }
 }
 
-bool PublishedFeed::IsNextPart(const HostId& host,
-                               const FeedPart& part,
-                               TimePoint now) {
-  const FeedUpdate& update = part.update;
-  FeedTransfer& transfer = peers_.at(host).transfer;
-  const FeedTransfer expected = part.range.IsFirst()
-                                    ? FeedTransfer{update.after,
-                                                   update.changes.current,
-                                                   {},
-                                                   now + options_.part_patience}
-                                    : std::exchange(transfer, {});
-  const bool is_next = expected.IsUnderWay(now) &&
-                       expected.after == update.after &&
-                       expected.current == update.changes.current &&
-                       expected.begin == part.range.begin;
-  if (is_next && !part.range.IsLast()) {
-    transfer = {update.after, update.changes.current, part.range.end,
-                now + options_.part_patience};
-  }
-  return is_next;
-}
-
 void PublishedFeed::TakePart(const HostId& host,
                              const FeedPart& part,
                              TimePoint now,
                              Outbox& out) {
-  if (IsNextPart(host, part, now)) {
+  FeedTransfer& transfer = peers_.at(host).transfer;
+  if (transfer.Continues(part, options_.part_patience, now)) {
     Take(host, part.update, part.range, now, out);
   } else if (part.range.IsLast()) {
     out.Send(host, Hello(now));
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -103,8 +103,6 @@
                   Revision after,
                   TimePoint now,
                   Outbox& out);
-  // False where it is not the part that is to come next.
-  bool IsNextPart(const HostId& host, const FeedPart& part, TimePoint now);
   void TakePart(const HostId& host,
                 const FeedPart& part,
                 TimePoint now,
--- a/policy/cold_endpoints.cc
+++ b/policy/cold_endpoints.cc
@@ -44,6 +44,9 @@
 }
 
 int ColdEndpoints::Turns() const {
+  if (rate_ <= 0) {
+    return 0;
+  }
   const double most = rate_ * options_.overshoot + options_.slack;
   return static_cast<int>(most * kSharedTurns);
 }
--- a/policy/seat_turns.cc
+++ b/policy/seat_turns.cc
@@ -41,7 +41,12 @@
 }
 
 void SeatTurns::OnSend(TimePoint now) {
-  std::erase_if(sent_, [now](TimePoint it) { return now - it >= kTurnTime; });
+  if (own_turns_ == 0) {
+    return;
+  }
+  if (sent_.size() >= static_cast<std::size_t>(own_turns_)) {
+    sent_.erase(sent_.begin());
+  }
   sent_.push_back(now);
 }
 
--- a/policy/seat_turns.h
+++ b/policy/seat_turns.h
@@ -21,7 +21,8 @@
   // A second, and the time for which the call before may have been on its way.
   static constexpr Duration kTurnTime = std::chrono::milliseconds(1250);
 
-  // `turns` are those of the endpoint in all. What was sent stays counted.
+  // `turns` are those of the endpoint in all. What was sent by a turn stays
+  // counted.
   void Draw(const EndpointId& endpoint, int turns, const FleetSeat& seat);
 
   // Those that fall to this host's seat.
@@ -31,7 +32,7 @@
 
  private:
   int own_turns_ = 0;
-  // The last calls, the oldest first.
+  // The last calls, one for each turn, the oldest first.
   std::vector<TimePoint> sent_;
 };
 
