--- a/tests/soak/soak_environment.h
+++ b/tests/soak/soak_environment.h
@@ -11,6 +11,12 @@
   return text == nullptr ? otherwise : std::atoi(text);
 }
 
+// The daemon to play, so that another build can be compared.
+inline const char* SoakBinary() {
+  const char* path = std::getenv("DAMASKTACK_SOAK_BINARY");
+  return path == nullptr ? DAMASKTACK_BINARY : path;
+}
+
 }  // namespace damasktack
 
 #endif  // TESTS_SOAK_SOAK_ENVIRONMENT_H_
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -7,6 +7,7 @@
 #include <fstream>
 
 #include "core/json_reader.h"
+#include "tests/soak/soak_environment.h"
 
 namespace damasktack {
 
@@ -166,8 +167,7 @@
   ++lives_[n];
   Host& host = hosts_[n];
   host.process = std::make_unique<ChildProcess>(
-      std::vector<std::string>{DAMASKTACK_BINARY, "--settings",
-                               PathOf(n, ".json")},
+      std::vector<std::string>{SoakBinary(), "--settings", PathOf(n, ".json")},
       PathOf(n, ".log"));
   host.is_paused = false;
   host.terminated_at.reset();
