--- a/tests/soak/slot_endpoint.cc
+++ b/tests/soak/slot_endpoint.cc
@@ -17,7 +17,6 @@
 
 SlotEndpoint::SlotEndpoint(std::string id, boost::asio::io_context& context)
     : id_(std::move(id)),
-      context_(context),
       acceptor_(context,
                 Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
       port_(acceptor_.local_endpoint().port()) {
--- a/tests/soak/slot_endpoint.h
+++ b/tests/soak/slot_endpoint.h
@@ -52,7 +52,6 @@
   std::string Load() const;
 
   const std::string id_;
-  boost::asio::io_context& context_;
   Tcp::acceptor acceptor_;
   std::uint16_t port_ = 0;
   int running_ = 0;
