A host says when it reaches no endpoint of a service

In the logs of the cut hosts calls end "deadline" with no send, "shed" and "not-connected"; two endpoints of 34 were ejected on eleven hosts. Nothing in logs or metrics tells a host that is cut off from endpoints that are slow, full or gone.

Change, without effect on calls: EndpointReach judges by failed connections and probes of several endpoints without a response of any in between. Lines service-unreachable and service-reachable, metric damasktack_service_reachable.

--- a/proxy/caller_server.cc
+++ b/proxy/caller_server.cc
@@ -180,8 +180,9 @@
   const auto exchange = std::make_shared<EndpointExchange>(
       loop.context().get_executor(), loop.pool(), probe.target,
       state_.options().exchange, state_.options().names);
+  const TimePoint began_at = Clock::now();
   const TimePoint deadline =
-      Clock::now() + state_.options().exchange.connect_timeout;
+      began_at + state_.options().exchange.connect_timeout;
   const ExchangeResult result = co_await exchange->Run(request, deadline, "");
   dispatcher->CountProbe(result.bytes);
   if (result.signals) {
@@ -190,7 +191,8 @@
   if (result.report) {
     dispatcher->Report(probe.endpoint, *result.report, Clock::now());
   } else {
-    dispatcher->ProbeFailed(probe.endpoint, result.result, Clock::now());
+    dispatcher->ProbeFailed(probe.endpoint, result.result, began_at,
+                            Clock::now());
   }
 }
 
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -134,14 +134,17 @@
       << "damasktack_call_lines_dropped_total " << call_log_.dropped() << "\n"
       << "# TYPE damasktack_probes_total counter\n"
       << "# TYPE damasktack_probe_bytes_total counter\n"
-      << "# TYPE damasktack_calls_waiting gauge\n";
+      << "# TYPE damasktack_calls_waiting gauge\n"
+      << "# TYPE damasktack_service_reachable gauge\n";
   for (const auto& [id, dispatcher] : dispatchers()) {
     const std::string label = "{service=\"" + id.text() + "\"} ";
     const ProbeCost cost = dispatcher->probe_cost();
     out << "damasktack_probes_total" << label << cost.probes << "\n"
         << "damasktack_probe_bytes_total" << label << cost.bytes << "\n"
         << "damasktack_calls_waiting" << label
-        << dispatcher->Status(now).waiting << "\n";
+        << dispatcher->Status(now).waiting << "\n"
+        << "damasktack_service_reachable" << label << dispatcher->IsReachable()
+        << "\n";
   }
   return out.str();
 }
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -7,6 +7,19 @@
 
 namespace damasktack {
 
+namespace {
+
+std::int64_t ToMs(Duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+bool HasResponse(SendResult result) {
+  return result == SendResult::kAnswered || result == SendResult::kFailed ||
+         result == SendResult::kShed || result == SendResult::kMisdirected;
+}
+
+}  // namespace
+
 ServiceDispatcher::ServiceDispatcher(std::unique_ptr<Balancer> balancer,
                                      ConnectionShare share,
                                      EndpointRates& rates,
@@ -21,8 +34,12 @@
                                    TimePoint now) {
   const std::lock_guard lock(mutex_);
   hosts_ = std::max<std::int64_t>(hosts, 1);
+  service_ = service.id;
   health_path_ = service.health_path;
   balancer_->SetService(service, hosts, now);
+  const bool was_unreachable = reach_.is_unreachable();
+  reach_.SetEndpoints(service.endpoints, now);
+  LogReach(was_unreachable, reach_.SilentFor(now));
 }
 
 void ServiceDispatcher::SetHostNumber(const HostNumber& host_number) {
@@ -67,6 +84,10 @@
   {
     const std::lock_guard lock(mutex_);
     waiting_.emplace(offer.token, std::move(on_placed));
+    // An endpoint that exceeds the call's deadline may only be slow.
+    if (end.result != SendResult::kTimedOut) {
+      RecordReach(end.endpoint, end.result, now - end.took, now);
+    }
     if (end.report) {
       RecordDrain(end.endpoint, *end.report);
     }
@@ -102,6 +123,7 @@
   bool waiting = false;
   {
     const std::lock_guard lock(mutex_);
+    RecordReach(endpoint, SendResult::kAnswered, now, now);
     RecordDrain(endpoint, report);
     balancer_->Report(endpoint, report, now, decisions);
     placed = Resolve(decisions);
@@ -156,12 +178,14 @@
 
 void ServiceDispatcher::ProbeFailed(EndpointIndex endpoint,
                                     SendResult result,
+                                    TimePoint began_at,
                                     TimePoint now) {
   Decisions decisions;
   std::vector<Placed> placed;
   bool waiting = false;
   {
     const std::lock_guard lock(mutex_);
+    RecordReach(endpoint, result, began_at, now);
     balancer_->ProbeFailed(endpoint, result, now, decisions);
     placed = Resolve(decisions);
     waiting = balancer_->waiting() > 0;
@@ -214,6 +238,11 @@
   return balancer_->Status(now);
 }
 
+bool ServiceDispatcher::IsReachable() const {
+  const std::lock_guard lock(mutex_);
+  return !reach_.is_unreachable();
+}
+
 void ServiceDispatcher::CountProbe(std::uint64_t bytes) {
   ++probes_;
   probe_bytes_ += bytes;
@@ -264,6 +293,33 @@
   }
 }
 
+void ServiceDispatcher::RecordReach(EndpointIndex endpoint,
+                                    SendResult result,
+                                    TimePoint began_at,
+                                    TimePoint now) {
+  const bool was_unreachable = reach_.is_unreachable();
+  const Duration silent = reach_.SilentFor(now);
+  if (HasResponse(result)) {
+    reach_.OnResponse(now);
+  } else if (result != SendResult::kCancelled) {
+    reach_.OnNoResponse(balancer_->endpoint(endpoint).id, began_at, now);
+  }
+  LogReach(was_unreachable, silent);
+}
+
+void ServiceDispatcher::LogReach(bool was_unreachable, Duration silent) const {
+  if (was_unreachable == reach_.is_unreachable()) {
+    return;
+  }
+  if (was_unreachable) {
+    spdlog::info("event=service-reachable service={} silent_ms={}",
+                 service_.text(), ToMs(silent));
+    return;
+  }
+  spdlog::warn("event=service-unreachable service={} failing={} silent_ms={}",
+               service_.text(), reach_.failing(), ToMs(silent));
+}
+
 void ServiceDispatcher::NotifyCalls(std::vector<Placed>& placed, bool waiting) {
   for (Placed& it : placed) {
     it.on_placed(it.placement);
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -12,6 +12,7 @@
 
 #include "fleet/endpoint_rates.h"
 #include "policy/balancer.h"
+#include "policy/endpoint_reach.h"
 #include "proxy/endpoint_pool.h"
 
 namespace damasktack {
@@ -92,7 +93,11 @@
   void OnProbeSignals(const ProbeRequest& probe,
                       const EndpointSignals& signals,
                       TimePoint now);
-  void ProbeFailed(EndpointIndex endpoint, SendResult result, TimePoint now);
+  // Handles a probe, begun at `began_at`, that returned no report.
+  void ProbeFailed(EndpointIndex endpoint,
+                   SendResult result,
+                   TimePoint began_at,
+                   TimePoint now);
   // Applies an endpoint's rate limit that another host has reported.
   void OnPeerRateLimit(const StatedRate& stated);
   // Applies a drain of the endpoint that another host has reported.
@@ -106,6 +111,8 @@
   bool probes_while_idle() const { return balancer_->probes_while_idle(); }
   std::optional<ProbeRequest> NextProbe(TimePoint now);
   BalancerStatus Status(TimePoint now) const;
+  // Returns false while this host reaches no endpoint of the service.
+  bool IsReachable() const;
 
   void CountProbe(std::uint64_t bytes);
   ProbeCost probe_cost() const;
@@ -122,6 +129,13 @@
   void NotifyCalls(std::vector<Placed>& placed, bool waiting);
   // Logs endpoint state changes; the caller must hold the lock.
   void LogChanges();
+  // Records whether an exchange, begun at `began_at`, had a response, and logs
+  // a change of the service's reachability; the caller must hold the lock.
+  void RecordReach(EndpointIndex endpoint,
+                   SendResult result,
+                   TimePoint began_at,
+                   TimePoint now);
+  void LogReach(bool was_unreachable, Duration silent) const;
   void RecordDrain(EndpointIndex endpoint, const EndpointReport& report);
   // Applies signals with `take` and returns the endpoint's rate limit if that
   // has changed it.
@@ -139,7 +153,9 @@
   std::atomic<std::uint64_t> probe_bytes_ = 0;
   mutable std::mutex mutex_;
   std::int64_t hosts_ = 1;
+  ServiceId service_;
   std::string health_path_;
+  EndpointReach reach_;
   const std::unique_ptr<Balancer> balancer_;
   const std::function<void()> on_waiting_;
   std::unordered_map<CallToken, OnPlaced> waiting_;
