Red: callers of hosts that are partitioned from all endpoints

Callers send each call once; from 3 s after the cut those at the cut hosts must be served at least two thirds as often as the others.

The fault proxy now partitions single hosts: it finds the process that owns a connection. Until now it cut an endpoint from all hosts at once, which is why no soak has seen this.

--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -34,6 +34,8 @@
   // The simulated network has lost this connection: no more bytes are
   // forwarded.
   bool is_lost = false;
+  // The client is cut off, and the connection hangs.
+  bool is_cut = false;
 };
 
 }  // namespace
@@ -69,6 +71,24 @@
     delay_ = delay;
   }
 
+  void SetPartition(Partition partition, IsCut is_cut) {
+    partition_ = partition;
+    is_cut_ = std::move(is_cut);
+    for (const auto& it : pairs_) {
+      if (std::exchange(it->is_cut, false)) {
+        MarkLost(it);
+      }
+      if (partition == Partition::kRefuseNew || !IsCutOff(it->client)) {
+        continue;
+      }
+      if (partition == Partition::kReset) {
+        it->Reset();
+      } else {
+        it->is_cut = true;
+      }
+    }
+  }
+
  private:
   // On a real network a lost connection gets no acknowledgements, so the
   // kernels of both ends detect the loss. Here the proxy's kernel acknowledges
@@ -93,10 +113,13 @@
       if (ec) {
         co_return;
       }
-      if (fault_ == LinkFault::kReset) {
+      const bool is_cut_off = IsCutOff(pair->client);
+      const bool is_refused = is_cut_off && partition_ != Partition::kHang;
+      if (fault_ == LinkFault::kReset || is_refused) {
         pair->Reset();
         continue;
       }
+      pair->is_cut = is_cut_off;
       asio::co_spawn(
           acceptor_.get_executor(),
           [self = shared_from_this(), pair] { return self->Serve(pair); },
@@ -125,8 +148,14 @@
     co_await Pump(pair, pair->server, pair->client, LinkFault::kCutToClient);
   }
 
+  bool IsCutOff(const Tcp::socket& client) const {
+    boost::system::error_code ec;
+    const auto peer = client.remote_endpoint(ec);
+    return !ec && is_cut_ && is_cut_(peer.port(), port());
+  }
+
   bool IsBlocked(const ConnectionPair& pair, LinkFault direction) const {
-    return pair.is_lost || fault_ == direction || fault_ == LinkFault::kCutBoth;
+    return pair.is_lost || pair.is_cut || fault_ == direction || fault_ == LinkFault::kCutBoth;
   }
 
   asio::awaitable<void> Sleep(Duration time) {
@@ -171,6 +200,8 @@
   std::mt19937 random_;
   LinkFault fault_ = LinkFault::kNone;
   Duration delay_{};
+  Partition partition_ = Partition::kHang;
+  IsCut is_cut_;
   std::set<std::shared_ptr<ConnectionPair>> pairs_;
 };
 
@@ -191,6 +222,19 @@
   return link->port();
 }
 
+void FaultProxies::SetPartition(std::uint16_t port,
+                                Partition partition,
+                                IsCut is_cut) {
+  const std::lock_guard lock(mutex_);
+  for (const auto& it : links_) {
+    if (it->port() == port) {
+      asio::post(context_, [it, partition, is_cut] {
+        it->SetPartition(partition, is_cut);
+      });
+    }
+  }
+}
+
 void FaultProxies::SetFault(std::uint16_t port,
                             LinkFault fault,
                             Duration delay) {
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -27,6 +28,16 @@
   kCutBoth,
 };
 
+// How a partition treats the connections of the clients that are cut off.
+enum class Partition : std::uint8_t {
+  // All of them hang.
+  kHang,
+  // Open ones are reset, and new ones are refused.
+  kReset,
+  // Open ones live on, and new ones are refused.
+  kRefuseNew,
+};
+
 // TCP proxies on loopback ports, each in front of one server, that apply the
 // fault set for them to the forwarded bytes. All proxies share one thread.
 class FaultProxies {
@@ -40,6 +51,12 @@
   std::uint16_t Add(const SocketAddress& server);
   // Sets the fault of the proxy that listens on this port.
   void SetFault(std::uint16_t port, LinkFault fault, Duration delay);
+  // Partitions some clients of the proxy from its server. Replaces the last
+  // partition; one without `is_cut` ends it. `is_cut` tells by a connection's
+  // client and proxy port whether the client is cut off; it runs on the thread
+  // of the proxies.
+  using IsCut = std::function<bool(std::uint16_t client, std::uint16_t proxy)>;
+  void SetPartition(std::uint16_t port, Partition partition, IsCut is_cut);
 
  private:
   boost::asio::io_context context_;
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -8,6 +8,7 @@
 
 #include "core/json_reader.h"
 #include "tests/soak/soak_environment.h"
+#include "tests/support/socket_owner.h"
 
 namespace damasktack {
 
@@ -308,6 +309,26 @@
   proxies_.SetFault(link, fault, delay);
 }
 
+void SoakFleet::PartitionFromEndpoints(const std::set<int>& hosts,
+                                       Partition partition) {
+  FaultProxies::IsCut is_cut;
+  if (!hosts.empty()) {
+    std::vector<pid_t> processes;
+    for (const int it : hosts) {
+      processes.push_back(hosts_[it].process->pid());
+    }
+    is_cut = [processes](std::uint16_t client, std::uint16_t proxy) {
+      const std::string inode = FindSocketInode(client, proxy);
+      return std::ranges::any_of(processes, [&](pid_t it) {
+        return !inode.empty() && OwnsSocket(it, inode);
+      });
+    };
+  }
+  for (const Endpoint& it : endpoints_) {
+    proxies_.SetPartition(it.link, partition, is_cut);
+  }
+}
+
 void SoakFleet::CheckStop(int n, TimePoint now) {
   Host& host = hosts_[n];
   if (!host.terminated_at || now - *host.terminated_at < kStopGracePeriod) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,9 @@
   enum class LinkKind : std::uint8_t { kCallers, kStore, kPeers, kEndpoint };
   // `n` is the index of an endpoint for kEndpoint, of a host otherwise.
   void SetFault(LinkKind link_kind, int n, LinkFault fault, Duration delay);
+  // Partitions hosts from the endpoints of the service that most calls go to,
+  // and from nothing else. An empty set ends the partition.
+  void PartitionFromEndpoints(const std::set<int>& hosts, Partition partition);
   StandinStore& store() { return store_; }
 
   // The steps by which an endpoint is replaced: its entry says that it drains,
