Calls of a host that reaches no endpoint are relayed to a peer

Cause: a host had no way to an endpoint but its own connections, and nothing concluded from failures of single endpoints that it was the host which was cut off. Calls waited for probes that could not return, to their deadline, or were refused by old reports. Readiness alone cannot help: open connections stay, and where most of a zone is cut off the platform uses all of it again.

Change: a host that reaches no endpoint of a service (EndpointReach) refuses its waiting calls as unreachable, and CallHandler relays them over HTTP to a peer that does, at a port of its own, one hop, with the fleet's token. Peers are found through the seeds (RelayExchange): a change costs a message to the seed, one back, and one to each other seed. A call goes on to another peer only if the one before refused it or took no byte of it; what is lost later is unknown. A call that no host can serve is refused at once as not run.

--- a/fleet/peer_message.h
+++ b/fleet/peer_message.h
@@ -11,6 +11,7 @@
 #include "fleet/limit_messages.h"
 #include "fleet/membership_messages.h"
 #include "fleet/published_messages.h"
+#include "fleet/relay_messages.h"
 
 namespace damasktack {
 
@@ -43,7 +44,9 @@
                                  FeedOutage,
                                  FeedNumberAssignment,
                                  CrashReport,
-                                 EndpointRateReport>;
+                                 EndpointRateReport,
+                                 RelayOffers,
+                                 RelayPeers>;
 
 }  // namespace damasktack
 
--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <cstdlib>
+#include <random>
 #include <utility>
 
 #include "fleet/peer_codec.h"
@@ -54,6 +55,10 @@
   rate_exchange_.emplace(rates, FleetTopology::kStar);
 }
 
+void PublishedLoop::ShareRelays(RelayDirectory& relays) {
+  relay_exchange_.emplace(relays, std::random_device()());
+}
+
 void PublishedLoop::Start(PeerTransport* transport) {
   transport_ = transport;
   ConnectExchanges();
@@ -85,6 +90,10 @@
     rate_exchange_->SetOnUpdates(
         [this] { SendExchangeUpdate(rate_exchange_); });
   }
+  if (relay_exchange_) {
+    relay_exchange_->SetOnUpdates(
+        [this] { SendExchangeUpdate(relay_exchange_); });
+  }
 }
 
 void PublishedLoop::DisconnectExchanges() {
@@ -94,6 +103,9 @@
   if (rate_exchange_) {
     rate_exchange_->SetOnUpdates({});
   }
+  if (relay_exchange_) {
+    relay_exchange_->SetOnUpdates({});
+  }
 }
 
 void PublishedLoop::SetSeeds(std::vector<SocketAddress> seeds) {
@@ -269,6 +281,22 @@
   }
 }
 
+void PublishedLoop::ExchangeRelays(const HostId& host,
+                                   const PeerMessage& message) {
+  if (!relay_exchange_) {
+    return;
+  }
+  if (const auto* hello = std::get_if<FeedHello>(&message)) {
+    const bool is_seed = hello->rank != FeedHello::kNoSeed;
+    relay_exchange_->OnPeer(
+        host, is_seed ? RelayPeerRole::kSeed : RelayPeerRole::kFollower, out_);
+  } else if (const auto* offers = std::get_if<RelayOffers>(&message)) {
+    relay_exchange_->OnOffers(host, *offers, out_);
+  } else if (const auto* peers = std::get_if<RelayPeers>(&message)) {
+    relay_exchange_->OnPeers(*peers);
+  }
+}
+
 template <typename Exchange>
 void PublishedLoop::SendExchangeUpdate(std::optional<Exchange>& exchange) {
   Outbox out;
@@ -298,6 +326,9 @@
   if (rate_exchange_) {
     rate_exchange_->OnPeerGone(HostId(host));
   }
+  if (relay_exchange_) {
+    relay_exchange_->OnPeerGone(HostId(host), out_);
+  }
 }
 
 void PublishedLoop::OnFrame(const std::string& host,
@@ -313,6 +344,7 @@
         feed_.OnMessage(HostId(host), *message, Clock::now(), out_);
         ExchangeCrashes(HostId(host), *message);
         ExchangeRates(HostId(host), *message);
+        ExchangeRelays(HostId(host), *message);
         PublishChanges(lock);
         return {};
       },
--- a/fleet/published_loop.h
+++ b/fleet/published_loop.h
@@ -13,6 +13,7 @@
 #include "fleet/endpoint_rate_exchange.h"
 #include "fleet/published_feed.h"
 #include "fleet/published_source.h"
+#include "fleet/relay_exchange.h"
 #include "wire/peer_transport.h"
 
 namespace damasktack {
@@ -53,6 +54,8 @@
   void ShareCrashes(RequestQuarantine& quarantine);
   // Shares the rate limits stated by endpoints, under the same conditions.
   void ShareRates(EndpointRates& rates);
+  // Finds peers for relayed calls, under the same conditions.
+  void ShareRelays(RelayDirectory& relays);
   // Starts the loop. Without a transport (null) this host only reads the store.
   // `transport` must outlive Stop.
   void Start(PeerTransport* transport);
@@ -86,6 +89,7 @@
   // Called with the lock held.
   void ExchangeCrashes(const HostId& host, const PeerMessage& message);
   void ExchangeRates(const HostId& host, const PeerMessage& message);
+  void ExchangeRelays(const HostId& host, const PeerMessage& message);
   // Sends pending reports of an exchange. Runs on the thread of the request
   // that produced them, because the loop thread may be waiting for the store.
   template <typename Exchange>
@@ -108,6 +112,7 @@
   // Null if crash reports are not exchanged.
   std::optional<CrashExchange> crashes_;
   std::optional<EndpointRateExchange> rate_exchange_;
+  std::optional<RelayExchange> relay_exchange_;
   Outbox out_;
   std::vector<SocketAddress> seeds_;
   // Fleet size last reported to the owner.
--- a/main/settings.cc
+++ b/main/settings.cc
@@ -36,6 +36,17 @@
               "are published in a key-value store");
 }
 
+leaf::result<void> CheckRelays(const Settings& settings) {
+  const bool has_peers = settings.store.enabled && settings.fleet.enabled;
+  if (!settings.proxy.relay.enabled() || has_peers) {
+    return {};
+  }
+  return Fail(ErrorKind::kOutOfRange, "proxy.relay_listen",
+              "a host without the sections store and fleet",
+              "remove proxy.relay_listen: this host has no peers that relay "
+              "calls");
+}
+
 leaf::result<void> LoadToken(AdminOptions& admin) {
   if (admin.public_only) {
     return {};
@@ -90,6 +101,7 @@
   detail::VisitSettings(reader, settings);
   BOOST_LEAF_CHECK(reader.Finish());
   BOOST_LEAF_CHECK(CheckSource(settings));
+  BOOST_LEAF_CHECK(CheckRelays(settings));
   BOOST_LEAF_CHECK(CheckAdminAddress(settings.admin));
   BOOST_LEAF_CHECK(LoadToken(settings.admin));
   if (settings.fleet.enabled) {
--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -22,6 +22,13 @@
 void VisitProxy(Visitor& visitor, ProxyOptions& options) {
   visitor.Address("listen", options.listen, SettingNeed::kRequired,
                   "where callers connect");
+  visitor.Address("relay_listen", options.relay.listen, SettingNeed::kOptional,
+                  "where hosts of the fleet connect to relay calls for which "
+                  "they reach no endpoint; without it this host neither takes "
+                  "nor relays calls; only with store and fleet");
+  visitor.Count("relay_calls", options.relay.max_calls, 1, 100'000, "calls",
+                "maximum number of relayed calls that this host works on at "
+                "a time");
   visitor.Count("threads", options.threads, 1, 64, "threads",
                 "threads for callers' and endpoints' connections");
   visitor.Count("connections", options.connections, 1, 100'000, "connections",
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -12,6 +12,7 @@
 #include "main/fleet_node.h"
 #include "main/settings_snapshot.h"
 #include "platform/kv_names.h"
+#include "wire/relay_token.h"
 
 namespace damasktack {
 
@@ -34,6 +35,9 @@
 ProxyOptions MakeProxyOptions(const Settings& settings) {
   ProxyOptions options = settings.proxy;
   options.names = KvProtocolNames();
+  options.relay.host = settings.host;
+  options.relay.regions = settings.regions;
+  options.relay.token = MakeRelayToken(settings.fleet.key);
   return options;
 }
 
@@ -159,6 +163,7 @@
       transport_(MakeTransport(settings_, published_)) {
   published_.ShareCrashes(state_.quarantine());
   published_.ShareRates(state_.endpoint_rates());
+  published_.ShareRelays(state_.relay_directory());
 }
 
 StoreDaemon::~StoreDaemon() {
@@ -170,6 +175,11 @@
   state_.SetIsCurrent([this] { return has_routes_.load(); },
                       started_at_ + settings_.store.start_hold);
   BOOST_LEAF_CHECK(callers_.Start());
+  if (callers_.relay_port() != 0) {
+    const std::string& ip = settings_.proxy.relay.listen.ip;
+    state_.relay_directory().SetSelf(
+        {settings_.host, settings_.zone, {ip, callers_.relay_port()}});
+  }
   BOOST_LEAF_CHECK(admin_.Start());
   if (transport_) {
     if (const std::error_code ec = transport_->Start()) {
--- a/policy/balancer.h
+++ b/policy/balancer.h
@@ -127,6 +127,9 @@
   virtual std::vector<EndpointChange> TakeChanges() { return {}; }
 
   virtual const EndpointSpec& endpoint(EndpointIndex index) const = 0;
+  // Returns the index of a listed endpoint; null if it is not listed.
+  virtual std::optional<EndpointIndex> FindEndpoint(
+      const EndpointId& id) const = 0;
   virtual std::size_t waiting() const = 0;
   virtual BalancerStatus Status(TimePoint now) const = 0;
 };
--- a/policy/call.cc
+++ b/policy/call.cc
@@ -30,9 +30,9 @@
 }
 
 std::string_view ToString(Refusal refusal) {
-  constexpr std::array<std::string_view, 7> kNames = {
-      "none",        "deadline", "shed",    "queue-full",
-      "no-endpoint", "limit",    "stopping"};
+  constexpr std::array<std::string_view, 8> kNames = {
+      "none",        "deadline", "shed",     "queue-full",
+      "no-endpoint", "limit",    "stopping", "unreachable"};
   return kNames[static_cast<std::size_t>(refusal)];
 }
 
--- a/policy/call.h
+++ b/policy/call.h
@@ -72,6 +72,8 @@
   // The customer is over its limit.
   kLimit,
   kStopping,
+  // This host reaches no endpoint of the service.
+  kUnreachable,
 };
 std::string_view ToString(Refusal refusal);
 
--- a/policy/endpoint_table.cc
+++ b/policy/endpoint_table.cc
@@ -282,6 +282,15 @@
   return specs_[index];
 }
 
+std::optional<EndpointIndex> EndpointTable::Find(const EndpointId& id) const {
+  for (EndpointIndex n = 0; n < specs_.size(); ++n) {
+    if (specs_[n].id == id && roster_.records()[n].listed) {
+      return n;
+    }
+  }
+  return std::nullopt;
+}
+
 EndpointStatus EndpointTable::StatusOf(EndpointIndex index,
                                        TimePoint now) const {
   const EndpointRecord& record = roster_.records()[index];
--- a/policy/endpoint_table.h
+++ b/policy/endpoint_table.h
@@ -115,6 +115,8 @@
   void ProbeFailed(EndpointIndex endpoint, SendResult result, TimePoint now);
 
   const EndpointSpec& endpoint(EndpointIndex index) const;
+  // Returns the index of a listed endpoint; null if it is not listed.
+  std::optional<EndpointIndex> Find(const EndpointId& id) const;
   EndpointTableStatus Status(TimePoint now) const;
   std::vector<EndpointChange> TakeChanges() {
     return roster_.TakeChanges(specs_);
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -85,6 +85,10 @@
   const EndpointSpec& endpoint(EndpointIndex index) const override {
     return endpoints_.spec(index);
   }
+  std::optional<EndpointIndex> FindEndpoint(
+      const EndpointId& id) const override {
+    return endpoints_.Find(id);
+  }
   std::size_t waiting() const override { return queue_.size(); }
   BalancerStatus Status(TimePoint now) const override;
 
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -398,6 +398,12 @@
   }
 }
 
+std::optional<EndpointIndex> MeasuredEndpoints::Find(
+    const EndpointId& id) const {
+  const auto it = listed_.find(id);
+  return it == listed_.end() ? std::nullopt : std::optional(it->second);
+}
+
 std::vector<EndpointChange> MeasuredEndpoints::TakeChanges() {
   return roster_.TakeChanges(specs_);
 }
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -133,6 +133,8 @@
     return measures_[index];
   }
   const EndpointSpec& spec(EndpointIndex index) const { return specs_[index]; }
+  // Returns the index of a listed endpoint; null if it is not listed.
+  std::optional<EndpointIndex> Find(const EndpointId& id) const;
   bool IsFresh(EndpointIndex index, TimePoint now) const {
     return measures_[index].IsFresh(now, options_.fresh);
   }
--- a/policy/service_balancer.h
+++ b/policy/service_balancer.h
@@ -86,6 +86,10 @@
                    Decisions& out) override;
 
   const EndpointSpec& endpoint(EndpointIndex index) const override;
+  std::optional<EndpointIndex> FindEndpoint(
+      const EndpointId& id) const override {
+    return table_.Find(id);
+  }
   std::vector<EndpointChange> TakeChanges() override {
     return table_.TakeChanges();
   }
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -6,7 +6,6 @@
 #include <random>
 #include <utility>
 
-#include "policy/call_outcome.h"
 #include "policy/target_choice.h"
 #include "proxy/call_guards.h"
 #include "proxy/call_parameters.h"
@@ -14,6 +13,7 @@
 #include "proxy/header_rewrite.h"
 #include "proxy/request_check.h"
 #include "proxy/request_digest.h"
+#include "wire/link_auth.h"
 
 namespace damasktack {
 
@@ -28,6 +28,18 @@
 // Such a wait may take at most this fraction (1/n) of the caller's timeout, so
 // that enough time is left to try another host.
 constexpr int kCurrentWaitDivisor = 3;
+// Bounds what a peer states.
+constexpr std::int64_t kMaxEarlierSends = 1000;
+
+// Whether a refusal of a relayed call is due to this host, so that another peer
+// may take the call.
+bool MayAnotherPeerTake(FailureKind kind) {
+  return kind == FailureKind::kUnreachable ||
+         kind == FailureKind::kRelayRefused || kind == FailureKind::kNoRoute ||
+         kind == FailureKind::kNoEndpoint || kind == FailureKind::kNotCurrent ||
+         kind == FailureKind::kStopping;
+}
+
 std::string MakeCallId() {
   thread_local Random random(std::random_device{}());
   std::array<char, 16> buf{};
@@ -88,16 +100,18 @@
   std::shared_ptr<ClaimGuard> hold;
 };
 
-CallHandler::CallHandler(ProxyState& state, ProxyLoop& loop)
+CallHandler::CallHandler(ProxyState& state, ProxyLoop& loop, CallOrigin origin)
     : state_(state),
       loop_(loop),
+      origin_(origin),
       wake_(loop.context()),
       quarantine_check_(state.quarantine(), loop.context()),
-      call_id_(names().callers_assign_call_ids ? std::string() : MakeCallId()) {
-}
+      call_id_(names().callers_assign_call_ids ? std::string() : MakeCallId()),
+      relay_(state, loop) {}
 
 void CallHandler::OnCallerGone() {
   caller_gone_ = true;
+  relay_.Cancel();
   if (exchange_) {
     exchange_->Cancel();
     return;
@@ -182,6 +196,35 @@
   co_return co_await RouteByContract(request);
 }
 
+void CallHandler::TakeRelayHeaders(HttpRequest& request) {
+  earlier_sends_ = static_cast<int>(std::min<std::int64_t>(
+      ReadNumber(request, kRelaySendsHeader).value_or(0), kMaxEarlierSends));
+  for (const char* it :
+       {kRelayTokenHeader, kRelayFromHeader, kRelaySendsHeader}) {
+    request.erase(it);
+  }
+}
+
+asio::awaitable<CallHandler::CallResult> CallHandler::AdmitRelayed(
+    HttpRequest& request) {
+  const RelayOptions& relay = state_.options().relay;
+  if (!ConstantTimeEquals(FromBeast(request[kRelayTokenHeader]), relay.token)) {
+    co_return CallResult::NotRun(
+        MakeFailure(FailureKind::kRelayRefused, "another fleet's token"));
+  }
+  // Own callers come first: a host that relays its calls has other peers.
+  if (state_.counters().relayed_in_flight() >= relay.max_calls) {
+    co_return CallResult::NotRun(
+        MakeFailure(FailureKind::kRelayRefused, "too many relayed calls"));
+  }
+  const InFlightGuard relayed(state_.counters().relayed_in_flight());
+  state_.counters().CountRelayTaken();
+  state_.call_log().WriteRelayTaken(
+      call_id_, FromBeast(request[kRelayFromHeader]), Clock::now());
+  TakeRelayHeaders(request);
+  co_return co_await Admit(request);
+}
+
 asio::awaitable<CallHandler::CallResult> CallHandler::RouteByHost(
     HttpRequest& request) {
   const Route* route =
@@ -192,6 +235,9 @@
   }
   contract_ = &route->contract;
   FillOffer(*route, request, names(), offer_);
+  if (offer_.attempt_limit > 0) {
+    offer_.attempt_limit = std::max(offer_.attempt_limit - earlier_sends_, 1);
+  }
   thread_local Random random(std::random_device{}());
   const ServiceId& target = ChooseTarget(*route, random);
   service_ = routing_->FindServiceById(target);
@@ -371,6 +417,41 @@
   co_return result;
 }
 
+asio::awaitable<std::optional<CallHandler::CallResult>> CallHandler::Relay(
+    HttpRequest& request,
+    const CallOutcome& before) {
+  // A relayed call is not relayed again, so that it cannot circulate. Calls
+  // under a contract are not relayed: their key is not passed on, and their
+  // limits and claims are held by this host.
+  if (origin_ == CallOrigin::kPeer || !routing_->has_routes() ||
+      !HasTimeToSend()) {
+    co_return std::nullopt;
+  }
+  const CallRelay::Call call{
+      .id = call_id_,
+      .service = service_->id,
+      .deadline = offer_.deadline,
+      .idempotent = offer_.idempotent,
+      .sends = sends_,
+      .allowed_regions = offer_.allowed_regions,
+      .unreachable_for = dispatcher_->UnreachableFor(Clock::now())};
+  CallRelay::Result relayed = co_await relay_.Run(request, call);
+  at_endpoints_ += relayed.took;
+  was_relayed_ = relayed.answer || relayed.outcome != Outcome::kNotRun;
+  if (!was_relayed_) {
+    co_return std::nullopt;
+  }
+  // An earlier send by this host may have run.
+  const bool is_unsure = relayed.outcome == Outcome::kNotRun &&
+                         before.outcome() != Outcome::kNotRun;
+  if (!relayed.answer || is_unsure) {
+    const FailureKind kind =
+        is_unsure ? FailureKind::kBroken : KindOf(relayed.last);
+    co_return CallResult{Outcome::kUnknown, std::nullopt, MakeFailure(kind)};
+  }
+  co_return CallResult{relayed.outcome, std::move(relayed.answer), {}};
+}
+
 asio::awaitable<CallHandler::CallResult> CallHandler::SendWithRetries(
     HttpRequest& request) {
   const auto depth = ReadNumber(request, names().depth).value_or(0);
@@ -400,6 +481,12 @@
     const Placement placement = co_await AwaitPlacement();
     if (placement.refusal != Refusal::kNone) {
       call.OnRefused();
+      if (placement.refusal == Refusal::kUnreachable) {
+        std::optional<CallResult> relayed = co_await Relay(request, call);
+        if (relayed) {
+          co_return std::move(*relayed);
+        }
+      }
       CallResult result = give_up(KindOf(placement.refusal));
       result.failure.SetRetryAfter(placement.retry_after);
       co_return result;
@@ -469,7 +556,7 @@
     record.failure = ToString(result.failure.kind);
   }
   record.endpoint = last_endpoint_;
-  record.sends = sends_;
+  record.sends = sends_ + (was_relayed_ ? 1 : 0);
   record.total = now - offer_.arrival;
   record.at_endpoints = at_endpoints_;
   const bool has_objective = offer_.on_time_until != TimePoint();
@@ -487,10 +574,17 @@
                                  CallResult result) {
   if (!result.answer) {
     state_.counters().CountFailure(result.failure.kind);
-    return RenderFailure(result.failure, result.outcome, call_id_, names());
+    HttpResponse refusal =
+        RenderFailure(result.failure, result.outcome, call_id_, names());
+    if (origin_ == CallOrigin::kPeer && result.outcome == Outcome::kNotRun &&
+        MayAnotherPeerTake(result.failure.kind)) {
+      refusal.set(kRelayRefusedHeader, ToBeast(ToString(result.failure.kind)));
+    }
+    return refusal;
   }
   HttpResponse response = std::move(*result.answer);
   PrepareForCaller(response, request.method() == http::verb::head, names());
+  response.erase(kRelayRefusedHeader);
   response.version(11);
   SetNamed(response, names().outcome, ToString(result.outcome));
   if (!call_id_.empty()) {
@@ -507,7 +601,11 @@
     call_id_ = CallId(std::string(request[names().call]));
   }
   routing_ = state_.routing();
-  CallResult result = co_await Admit(request);
+  // Named, because g++ 12 destroys the temporaries of a conditional expression
+  // inside co_await twice.
+  asio::awaitable<CallResult> admission =
+      origin_ == CallOrigin::kPeer ? AdmitRelayed(request) : Admit(request);
+  CallResult result = co_await std::move(admission);
   const TimePoint now = Clock::now();
   const Duration total = now - offer_.arrival;
   Log(request, result, now);
--- a/proxy/call_log.cc
+++ b/proxy/call_log.cc
@@ -63,6 +63,29 @@
       basis.hosts, basis.seat.number, basis.seat.number_count, *left_out);
 }
 
+void CallLog::WriteRelay(const CallId& call,
+                         const ServiceId& service,
+                         const HostId& peer,
+                         Duration unreachable_for,
+                         TimePoint now) {
+  if (const std::optional<std::uint64_t> left_out = TakeLine(now)) {
+    spdlog::info(
+        "event=call-relayed call={} service={} peer={} reason=unreachable "
+        "unreachable_ms={} left_out={}",
+        call.text(), service.text(), peer.text(), ToMs(unreachable_for),
+        *left_out);
+  }
+}
+
+void CallLog::WriteRelayTaken(const CallId& call,
+                              std::string_view from,
+                              TimePoint now) {
+  if (const std::optional<std::uint64_t> left_out = TakeLine(now)) {
+    spdlog::info("event=relay-taken call={} from={} left_out={}", call.text(),
+                 from, *left_out);
+  }
+}
+
 std::uint64_t CallLog::dropped() const {
   const std::lock_guard lock(mutex_);
   return dropped_;
--- a/proxy/call_log.h
+++ b/proxy/call_log.h
@@ -64,6 +64,17 @@
                      const EndpointId& endpoint,
                      const ColdBasis& basis,
                      TimePoint now);
+  // Logs that a call is relayed to a peer, because this host has reached no
+  // endpoint of its service for `unreachable_for`.
+  void WriteRelay(const CallId& call,
+                  const ServiceId& service,
+                  const HostId& peer,
+                  Duration unreachable_for,
+                  TimePoint now);
+  // Logs that a peer relays a call to this host.
+  void WriteRelayTaken(const CallId& call,
+                       std::string_view from,
+                       TimePoint now);
   std::uint64_t dropped() const;
 
  private:
--- a/proxy/caller_server.cc
+++ b/proxy/caller_server.cc
@@ -22,33 +22,34 @@
 // when idle.
 constexpr Duration kIdleTick = std::chrono::milliseconds(500);
 
-}  // namespace
-
-CallerServer::CallerServer(ProxyState& state) : state_(state) {}
-
-CallerServer::~CallerServer() {
-  Stop();
-}
-
-leaf::result<void> CallerServer::Listen() {
-  const ProxyOptions& options = state_.options();
-  acceptor_ = std::make_unique<Tcp::acceptor>(loops_.front()->context());
+leaf::result<std::unique_ptr<Tcp::acceptor>> Listen(
+    asio::io_context& context,
+    const SocketAddress& address,
+    const std::string& setting) {
+  auto acceptor = std::make_unique<Tcp::acceptor>(context);
   boost::system::error_code ec;
-  const Tcp::endpoint local(asio::ip::make_address(options.listen.ip, ec),
-                            options.listen.port);
-  acceptor_->open(local.protocol(), ec);
-  acceptor_->set_option(Tcp::acceptor::reuse_address(true), ec);
-  acceptor_->bind(local, ec);
+  const Tcp::endpoint local(asio::ip::make_address(address.ip, ec),
+                            address.port);
+  acceptor->open(local.protocol(), ec);
+  acceptor->set_option(Tcp::acceptor::reuse_address(true), ec);
+  acceptor->bind(local, ec);
   if (!ec) {
-    acceptor_->listen(asio::socket_base::max_listen_connections, ec);
+    acceptor->listen(asio::socket_base::max_listen_connections, ec);
   }
   if (ec) {
-    return Fail(ErrorKind::kInvalidAddress, "proxy.listen",
-                ToString(options.listen) + ": " + ec.message(),
+    return Fail(ErrorKind::kInvalidAddress, setting,
+                ToString(address) + ": " + ec.message(),
                 "choose an address of this host with a free port");
   }
-  port_ = acceptor_->local_endpoint().port();
-  return {};
+  return acceptor;
+}
+
+}  // namespace
+
+CallerServer::CallerServer(ProxyState& state) : state_(state) {}
+
+CallerServer::~CallerServer() {
+  Stop();
 }
 
 leaf::result<void> CallerServer::Start() {
@@ -56,11 +57,20 @@
   for (std::int64_t n = 0; n < options.threads; ++n) {
     loops_.push_back(std::make_unique<ProxyLoop>(options.endpoint_idle));
   }
-  BOOST_LEAF_CHECK(Listen());
   asio::io_context& first = loops_.front()->context();
+  BOOST_LEAF_ASSIGN(acceptor_, Listen(first, options.listen, "proxy.listen"));
+  port_ = acceptor_->local_endpoint().port();
+  if (options.relay.enabled()) {
+    BOOST_LEAF_ASSIGN(relay_acceptor_, Listen(first, options.relay.listen,
+                                              "proxy.relay_listen"));
+    relay_port_ = relay_acceptor_->local_endpoint().port();
+    asio::co_spawn(first, Accept(*relay_acceptor_, CallOrigin::kPeer),
+                   asio::detached);
+  }
   tick_timer_ = std::make_unique<asio::steady_timer>(first);
   state_.SetOnWaiting([this] { OnWaiting(); });
-  asio::co_spawn(first, Accept(), asio::detached);
+  asio::co_spawn(first, Accept(*acceptor_, CallOrigin::kCaller),
+                 asio::detached);
   asio::co_spawn(first, TickLoop(), asio::detached);
   for (const auto& it : loops_) {
     asio::co_spawn(it->context(), ExpireLoop(*it), asio::detached);
@@ -69,17 +79,18 @@
   return {};
 }
 
-asio::awaitable<void> CallerServer::Accept() {
-  while (acceptor_->is_open()) {
+asio::awaitable<void> CallerServer::Accept(Tcp::acceptor& acceptor,
+                                           CallOrigin origin) {
+  while (acceptor.is_open()) {
     ProxyLoop& loop = *loops_[next_loop_++ % loops_.size()];
     boost::system::error_code ec;
-    Tcp::socket socket = co_await acceptor_->async_accept(
+    Tcp::socket socket = co_await acceptor.async_accept(
         loop.context(), asio::redirect_error(asio::use_awaitable, ec));
     if (!ec) {
-      Admit(std::move(socket), loop);
+      Admit(std::move(socket), loop, origin);
       continue;
     }
-    if (!acceptor_->is_open()) {
+    if (!acceptor.is_open()) {
       co_return;
     }
     asio::steady_timer pause(loops_.front()->context(), kAcceptRetryDelay);
@@ -87,7 +98,9 @@
   }
 }
 
-void CallerServer::Admit(Tcp::socket socket, ProxyLoop& loop) {
+void CallerServer::Admit(Tcp::socket socket,
+                         ProxyLoop& loop,
+                         CallOrigin origin) {
   boost::system::error_code ec;
   socket.set_option(Tcp::no_delay(true), ec);
   std::atomic<std::int64_t>& open = state_.counters().connections();
@@ -96,7 +109,7 @@
     return;
   }
   auto session =
-      std::make_shared<CallerSession>(std::move(socket), state_, loop);
+      std::make_shared<CallerSession>(std::move(socket), state_, loop, origin);
   if (is_full) {
     ++*refusals_;
     asio::co_spawn(
@@ -137,7 +150,11 @@
   const bool probes = std::ranges::any_of(dispatchers, [](const auto& it) {
     return it.second->probes_while_idle();
   });
-  return std::max(state_.options().tick, probes ? kQuietTick : kIdleTick);
+  const bool all_reachable = std::ranges::all_of(
+      dispatchers, [](const auto& it) { return it.second->IsReachable(); });
+  const Duration idle =
+      all_reachable ? kIdleTick : EndpointReach::kProbeInterval;
+  return std::max(state_.options().tick, probes ? kQuietTick : idle);
 }
 
 void CallerServer::OnWaiting() {
@@ -180,6 +197,9 @@
   const auto exchange = std::make_shared<EndpointExchange>(
       loop.context().get_executor(), loop.pool(), probe.target,
       state_.options().exchange, state_.options().names);
+  if (probe.needs_new_connection) {
+    exchange->RequireNewConnection();
+  }
   const TimePoint began_at = Clock::now();
   const TimePoint deadline =
       began_at + state_.options().exchange.connect_timeout;
@@ -211,6 +231,9 @@
   loops_.front()->poster()->Post([this] {
     boost::system::error_code ec;
     acceptor_->close(ec);
+    if (relay_acceptor_) {
+      relay_acceptor_->close(ec);
+    }
   });
 }
 
@@ -218,9 +241,10 @@
   for (const auto& it : loops_) {
     it->Stop();
   }
-  // The acceptor belongs to the first loop. Destroying the loops destroys the
+  // The acceptors belong to the first loop. Destroying the loops destroys the
   // aborted calls, which settle their claims while the gate still exists.
   acceptor_.reset();
+  relay_acceptor_.reset();
   tick_timer_.reset();
   loops_.clear();
 }
--- a/proxy/caller_server.h
+++ b/proxy/caller_server.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/error.h"
+#include "proxy/call_origin.h"
 #include "proxy/proxy_loop.h"
 #include "proxy/proxy_state.h"
 
@@ -29,13 +30,14 @@
   // Stops the threads and aborts all calls in flight.
   void Stop();
   std::uint16_t port() const { return port_; }
+  // Returns the port for relayed calls; 0 if this host takes none.
+  std::uint16_t relay_port() const { return relay_port_; }
   // Returns the number of open caller connections on all threads.
   std::int64_t connections() const { return state_.counters().connections(); }
 
  private:
-  leaf::result<void> Listen();
-  asio::awaitable<void> Accept();
-  void Admit(Tcp::socket socket, ProxyLoop& loop);
+  asio::awaitable<void> Accept(Tcp::acceptor& acceptor, CallOrigin origin);
+  void Admit(Tcp::socket socket, ProxyLoop& loop, CallOrigin origin);
   asio::awaitable<void> TickLoop();
   // Called when calls have begun to wait: sends the probes that they need and
   // switches to the short tick interval.
@@ -52,10 +54,13 @@
   ProxyState& state_;
   std::vector<std::unique_ptr<ProxyLoop>> loops_;
   std::unique_ptr<Tcp::acceptor> acceptor_;
+  // Null if this host takes no relayed calls.
+  std::unique_ptr<Tcp::acceptor> relay_acceptor_;
   // Runs on the first loop.
   std::unique_ptr<asio::steady_timer> tick_timer_;
   bool is_quiet_ = false;
   std::uint16_t port_ = 0;
+  std::uint16_t relay_port_ = 0;
   std::size_t next_loop_ = 0;
   // Number of connections over the limit that are being answered with a
   // refusal.
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -18,6 +18,8 @@
 // Idle timeout while stopping: long compared with the network delay of a
 // request that has been sent, short compared with a shutdown.
 constexpr Duration kIdleWhileStopping = std::chrono::milliseconds(500);
+// Longer than peers keep idle connections, so that they close them first.
+constexpr Duration kPeerIdleTimeout = std::chrono::minutes(15);
 constexpr Duration kMaxLinger = std::chrono::seconds(1);
 constexpr Duration kPollInterval = std::chrono::milliseconds(20);
 // Maximum requests of one connection served at a time; further ones stay
@@ -83,10 +85,12 @@
 
 CallerSession::CallerSession(Tcp::socket socket,
                              ProxyState& state,
-                             ProxyLoop& loop)
+                             ProxyLoop& loop,
+                             CallOrigin origin)
     : socket_(std::move(socket)),
       state_(state),
       loop_(loop),
+      origin_(origin),
       timer_(socket_.get_executor()),
       write_timer_(socket_.get_executor()),
       changed_(socket_.get_executor()) {}
@@ -125,7 +129,9 @@
 }
 
 void CallerSession::BeginIdle() {
-  Duration timeout = state_.caller_limits().idle_timeout;
+  Duration timeout = origin_ == CallOrigin::kPeer
+                         ? kPeerIdleTimeout
+                         : state_.caller_limits().idle_timeout;
   if (state_.stopping()) {
     timeout = std::min(timeout, kIdleWhileStopping);
   }
@@ -319,7 +325,7 @@
   if (lost_ || is_closing_) {
     co_return false;
   }
-  entry->handler = std::make_shared<CallHandler>(state_, loop_);
+  entry->handler = std::make_shared<CallHandler>(state_, loop_, origin_);
   is_reading_ = false;
   pending_.push_back(entry);
   asio::co_spawn(socket_.get_executor(), Answer(entry, std::move(request)),
--- a/proxy/caller_session.h
+++ b/proxy/caller_session.h
@@ -16,7 +16,10 @@
 // with safe methods are served concurrently. Used on one I/O thread only.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
  public:
-  CallerSession(Tcp::socket socket, ProxyState& state, ProxyLoop& loop);
+  CallerSession(Tcp::socket socket,
+                ProxyState& state,
+                ProxyLoop& loop,
+                CallOrigin origin);
 
   // Serves requests until either side closes the connection.
   asio::awaitable<void> Run();
@@ -75,6 +78,7 @@
   Tcp::socket socket_;
   ProxyState& state_;
   ProxyLoop& loop_;
+  const CallOrigin origin_;
   // Timeouts for reading and for writing.
   asio::steady_timer timer_;
   asio::steady_timer write_timer_;
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -17,8 +17,6 @@
 constexpr unsigned kInformational = 1;
 // More interim (1xx) answers before the final one are treated as a fault.
 constexpr int kMaxInterimAnswers = 16;
-// Maximum idle time of a connection that counts as recently used.
-constexpr Duration kRecentUse = std::chrono::milliseconds(1000);
 // Number of answers to other calls that are skipped before the connection is
 // abandoned.
 constexpr int kMaxStrayAnswers = 4;
@@ -97,8 +95,8 @@
 asio::awaitable<bool> EndpointExchange::Connect() {
   const TimePoint now = Clock::now();
   std::optional<Tcp::socket> idle =
-      recent_only_ ? pool_.TakeRecentlyUsed(target_, kRecentUse, now)
-                   : pool_.Take(target_, now);
+      max_idle_ ? pool_.TakeRecentlyUsed(target_, *max_idle_, now)
+                : pool_.Take(target_, now);
   if (idle) {
     socket_ = std::move(*idle);
     co_return true;
--- a/proxy/endpoint_exchange.h
+++ b/proxy/endpoint_exchange.h
@@ -57,13 +57,18 @@
   // run twice. An endpoint may have dropped an idle connection without closing
   // it, and then the outcome of the next request on it is unknown; a connection
   // that was used a moment ago is very unlikely to be dropped.
-  void RequireRecentConnection() { recent_only_ = true; }
+  void RequireRecentConnection() { max_idle_ = kRecentUse; }
+  // Allows only a new connection, to learn whether the endpoint can be reached.
+  void RequireNewConnection() { max_idle_ = Duration::zero(); }
 
   // Aborts the exchange by closing its connection, which tells the endpoint
   // that the call is cancelled. Has no effect after Run has returned.
   void Cancel();
 
  private:
+  // Maximum idle time of a connection that counts as recently used.
+  static constexpr Duration kRecentUse = std::chrono::milliseconds(1000);
+
   asio::awaitable<bool> Connect();
   asio::awaitable<bool> Send(const HttpRequest& request);
   asio::awaitable<std::optional<HttpResponse>> ReadAnswer(bool to_head);
@@ -102,7 +107,8 @@
   bool wrote_all_ = false;
   bool writing_ = false;
   bool reusable_ = false;
-  bool recent_only_ = false;
+  // Maximum idle time of the connection to use; null means that of the pool.
+  std::optional<Duration> max_idle_;
 };
 
 }  // namespace damasktack
--- a/proxy/failure.cc
+++ b/proxy/failure.cc
@@ -100,6 +100,14 @@
     {FailureKind::kCancelled, "cancelled", http::status::bad_gateway,
      "the request may have run; ask the service before repeating it",
      seconds(0)},
+    {FailureKind::kUnreachable, "unreachable",
+     http::status::service_unavailable,
+     "try again, if possible through another entry host", seconds(1)},
+    {FailureKind::kRelayRefused, "relay-refused",
+     http::status::service_unavailable,
+     "relay the call to another host; check that all hosts have the same fleet "
+     "key",
+     seconds(1)},
 }};
 
 constexpr bool RowsAreInOrder() {
@@ -154,6 +162,8 @@
       return FailureKind::kLimit;
     case Refusal::kStopping:
       return FailureKind::kStopping;
+    case Refusal::kUnreachable:
+      return FailureKind::kUnreachable;
     case Refusal::kNone:
     case Refusal::kShed:
       break;
--- a/proxy/failure.h
+++ b/proxy/failure.h
@@ -46,8 +46,10 @@
   kBroken,
   kTimedOut,
   kCancelled,
+  kUnreachable,
+  kRelayRefused,
 };
-inline constexpr std::size_t kFailureKindCount = 29;
+inline constexpr std::size_t kFailureKindCount = 31;
 
 // Returns the name used in answers and metrics.
 std::string_view ToString(FailureKind kind);
--- a/proxy/proxy_counters.cc
+++ b/proxy/proxy_counters.cc
@@ -14,7 +14,16 @@
       << "damasktack_stopping " << (stopping ? 1 : 0) << "\n"
       << "# TYPE damasktack_cold_sends_total counter\n"
       << "damasktack_cold_sends_total " << cold_sends_ << "\n"
-      << "# TYPE damasktack_failures_total counter\n";
+      << "# TYPE damasktack_relays_taken_total counter\n"
+      << "damasktack_relays_taken_total " << relays_taken_ << "\n"
+      << "# TYPE damasktack_relayed_in_flight gauge\n"
+      << "damasktack_relayed_in_flight " << relayed_in_flight_ << "\n"
+      << "# TYPE damasktack_relays_total counter\n";
+  for (std::size_t n = 0; n < relays_.size(); ++n) {
+    out << "damasktack_relays_total{end=\""
+        << ToString(static_cast<RelayEnd>(n)) << "\"} " << relays_[n] << "\n";
+  }
+  out << "# TYPE damasktack_failures_total counter\n";
   for (std::size_t n = 0; n < failures_.size(); ++n) {
     out << "damasktack_failures_total{kind=\""
         << ToString(static_cast<FailureKind>(n)) << "\"} " << failures_[n]
--- a/proxy/proxy_counters.h
+++ b/proxy/proxy_counters.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "proxy/failure.h"
+#include "proxy/relay_peer_picker.h"
 
 namespace damasktack {
 
@@ -23,6 +24,13 @@
   // Counts a call that is sent to an endpoint considered cold.
   void CountColdSend() { ++cold_sends_; }
 
+  // Counts a call that was offered to a peer.
+  void CountRelay(RelayEnd end) { ++relays_[static_cast<std::size_t>(end)]; }
+  // Counts a call that a peer relayed to this host.
+  void CountRelayTaken() { ++relays_taken_; }
+  // Relayed calls of peers that this host works on.
+  std::atomic<std::int64_t>& relayed_in_flight() { return relayed_in_flight_; }
+
   std::atomic<std::int64_t>& connections() { return connections_; }
   std::atomic<std::int64_t>& calls_in_flight() { return calls_in_flight_; }
   std::int64_t calls_in_flight() const { return calls_in_flight_; }
@@ -33,6 +41,9 @@
  private:
   std::array<std::atomic<std::uint64_t>, kFailureKindCount> failures_{};
   std::atomic<std::uint64_t> cold_sends_ = 0;
+  std::array<std::atomic<std::uint64_t>, kRelayEndCount> relays_{};
+  std::atomic<std::uint64_t> relays_taken_ = 0;
+  std::atomic<std::int64_t> relayed_in_flight_ = 0;
   std::atomic<std::int64_t> connections_ = 0;
   std::atomic<std::int64_t> calls_in_flight_ = 0;
 };
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -41,14 +41,7 @@
   for (const ServiceSpec& service : table->services()) {
     std::shared_ptr<ServiceDispatcher>& dispatcher = dispatchers_[service.id];
     if (!dispatcher) {
-      const ConnectionShare share{options_.threads, options_.idle_per_endpoint};
-      dispatcher = std::make_shared<ServiceDispatcher>(MakeBalancer(), share,
-                                                       endpoint_rates_, [this] {
-                                                         if (on_waiting_) {
-                                                           on_waiting_();
-                                                         }
-                                                       });
-      dispatcher->SetHostNumber(host_number_);
+      dispatcher = MakeDispatcher();
     }
     dispatcher->SetService(service, hosts, now);
     // Peers may have reported a rate limit before this host learned of the
@@ -78,6 +71,25 @@
                                            std::random_device()());
 }
 
+std::shared_ptr<ServiceDispatcher> ProxyState::MakeDispatcher() {
+  const ConnectionShare share{options_.threads, options_.idle_per_endpoint};
+  auto dispatcher = std::make_shared<ServiceDispatcher>(
+      MakeBalancer(), share, endpoint_rates_, [this] {
+        if (on_waiting_) {
+          on_waiting_();
+        }
+      });
+  dispatcher->SetHostNumber(host_number_);
+  if (options_.relay.enabled()) {
+    dispatcher->SetWhenUnreachable(
+        WhenUnreachable::kRefuse,
+        [this](const ServiceId& service, bool is_reachable) {
+          relay_directory_.SetReachable(service, is_reachable);
+        });
+  }
+  return dispatcher;
+}
+
 void ProxyState::RemoveUnlisted(const RoutingTable& table, TimePoint now) {
   for (auto it = dispatchers_.begin(); it != dispatchers_.end();) {
     const auto is_listed = [&](const ServiceSpec& service) {
@@ -91,6 +103,7 @@
     ServiceSpec without_endpoints;
     without_endpoints.id = it->first;
     it->second->SetService(without_endpoints, 1, now);
+    relay_directory_.Forget(it->first);
     it = dispatchers_.erase(it);
   }
 }
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -13,6 +13,7 @@
 #include "fleet/claim_gate.h"
 #include "fleet/endpoint_rates.h"
 #include "fleet/limit_gate.h"
+#include "fleet/relay_directory.h"
 #include "fleet/request_quarantine.h"
 #include "policy/measured_balancer.h"
 #include "policy/service_balancer.h"
@@ -20,6 +21,8 @@
 #include "proxy/call_metrics.h"
 #include "proxy/endpoint_exchange.h"
 #include "proxy/proxy_counters.h"
+#include "proxy/relay_options.h"
+#include "proxy/relay_peer_picker.h"
 #include "proxy/routing_table.h"
 #include "proxy/service_dispatcher.h"
 
@@ -46,6 +49,7 @@
   // connection.
   Duration endpoint_idle = std::chrono::seconds(4);
   ExchangeLimits exchange;
+  RelayOptions relay;
   // Selects how calls are placed: by probing at decision time (true), or by
   // this host's own calls and endpoints' reports (false).
   bool measures_before_sending = false;
@@ -68,6 +72,8 @@
   const CallMetrics& metrics() const { return metrics_; }
   ProxyCounters& counters() { return counters_; }
   CallLog& call_log() { return call_log_; }
+  RelayDirectory& relay_directory() { return relay_directory_; }
+  RelayPeerPicker& relay_peers() { return relay_peers_; }
 
   // Applies new documents to the calls that arrive from now on.
   void SetRouting(RoutingTablePtr table, std::int64_t hosts, TimePoint now);
@@ -116,6 +122,7 @@
 
  private:
   std::unique_ptr<Balancer> MakeBalancer() const;
+  std::shared_ptr<ServiceDispatcher> MakeDispatcher();
   // Removes the services that are no longer published; the caller must hold the
   // lock.
   void RemoveUnlisted(const RoutingTable& table, TimePoint now);
@@ -128,6 +135,8 @@
   CallMetrics metrics_;
   ProxyCounters counters_;
   CallLog call_log_;
+  RelayDirectory relay_directory_;
+  RelayPeerPicker relay_peers_{relay_directory_, options_.relay.regions};
   mutable std::shared_mutex mutex_;
   RoutingTablePtr routing_ = std::make_shared<RoutingTable>();
   std::map<ServiceId, std::shared_ptr<ServiceDispatcher>> dispatchers_;
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Another host may serve the caller at once.
+constexpr Duration kUnreachableRetryAfter = std::chrono::milliseconds(20);
+
 std::int64_t ToMs(Duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
@@ -29,6 +32,12 @@
       balancer_(std::move(balancer)),
       on_waiting_(std::move(on_waiting)) {}
 
+void ServiceDispatcher::SetWhenUnreachable(WhenUnreachable when,
+                                           OnReach on_reach) {
+  when_unreachable_ = when;
+  on_reach_ = std::move(on_reach);
+}
+
 void ServiceDispatcher::SetService(const ServiceSpec& service,
                                    std::int64_t hosts,
                                    TimePoint now) {
@@ -56,7 +65,12 @@
   {
     const std::lock_guard lock(mutex_);
     waiting_.emplace(offer.token, std::move(on_placed));
-    balancer_->Offer(offer, now, decisions);
+    if (RefusesCalls()) {
+      decisions.rejections.push_back(
+          {offer.token, Refusal::kUnreachable, kUnreachableRetryAfter});
+    } else {
+      balancer_->Offer(offer, now, decisions);
+    }
     placed = Resolve(decisions);
     waiting = balancer_->waiting() > 0;
   }
@@ -101,9 +115,11 @@
       waiting_.erase(offer.token);
     }
     placed = Resolve(decisions);
+    RefuseUnreachable(now, placed);
     waiting = balancer_->waiting() > 0;
   }
   PublishRateLimit(stated);
+  NotifyReach();
   NotifyCalls(placed, waiting);
   return after;
 }
@@ -129,6 +145,7 @@
     placed = Resolve(decisions);
     waiting = balancer_->waiting() > 0;
   }
+  NotifyReach();
   NotifyCalls(placed, waiting);
 }
 
@@ -188,8 +205,10 @@
     RecordReach(endpoint, result, began_at, now);
     balancer_->ProbeFailed(endpoint, result, now, decisions);
     placed = Resolve(decisions);
+    RefuseUnreachable(now, placed);
     waiting = balancer_->waiting() > 0;
   }
+  NotifyReach();
   NotifyCalls(placed, waiting);
 }
 
@@ -218,14 +237,21 @@
     const std::lock_guard lock(mutex_);
     balancer_->Tick(now, decisions);
     placed = Resolve(decisions);
+    RefuseUnreachable(now, placed);
     waiting = balancer_->waiting() > 0;
   }
+  NotifyReach();
   NotifyCalls(placed, false);
   return waiting;
 }
 
 std::optional<ProbeRequest> ServiceDispatcher::NextProbe(TimePoint now) {
   const std::lock_guard lock(mutex_);
+  if (const std::optional<EndpointId> id = reach_.NextProbe(now)) {
+    if (const auto index = balancer_->FindEndpoint(*id)) {
+      return ProbeRequest{*index, TargetOf(*index), true};
+    }
+  }
   const std::optional<EndpointIndex> next = balancer_->NextProbe(now);
   if (!next) {
     return std::nullopt;
@@ -243,6 +269,12 @@
   return !reach_.is_unreachable();
 }
 
+Duration ServiceDispatcher::UnreachableFor(TimePoint now) const {
+  const std::lock_guard lock(mutex_);
+  const std::optional<TimePoint> since = reach_.unreachable_since();
+  return since ? now - *since : Duration::zero();
+}
+
 void ServiceDispatcher::CountProbe(std::uint64_t bytes) {
   ++probes_;
   probe_bytes_ += bytes;
@@ -293,6 +325,39 @@
   }
 }
 
+void ServiceDispatcher::RefuseUnreachable(TimePoint now,
+                                          std::vector<Placed>& placed) {
+  if (!RefusesCalls()) {
+    return;
+  }
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (!balancer_->Withdraw(it->first, now)) {
+      ++it;
+      continue;
+    }
+    placed.push_back(Placed{
+        std::move(it->second),
+        Placement{Refusal::kUnreachable, 0, {}, kUnreachableRetryAfter}});
+    it = waiting_.erase(it);
+  }
+}
+
+void ServiceDispatcher::NotifyReach() {
+  ServiceId service;
+  bool is_reachable = true;
+  {
+    const std::lock_guard lock(mutex_);
+    is_reachable = !reach_.is_unreachable();
+    if (is_reachable == std::exchange(reported_reachable_, is_reachable)) {
+      return;
+    }
+    service = service_;
+  }
+  if (on_reach_) {
+    on_reach_(service, is_reachable);
+  }
+}
+
 void ServiceDispatcher::RecordReach(EndpointIndex endpoint,
                                     SendResult result,
                                     TimePoint began_at,
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -31,6 +31,19 @@
 struct ProbeRequest {
   EndpointIndex endpoint = 0;
   EndpointTarget target;
+  // The probe must use a new connection, because it asks whether the endpoint
+  // can be reached.
+  bool needs_new_connection = false;
+};
+
+// What a dispatcher does with calls while this host reaches no endpoint of the
+// service.
+enum class WhenUnreachable : std::uint8_t {
+  // They wait and are sent as if endpoints failed one by one.
+  kSend,
+  // They are refused at once with Refusal::kUnreachable, so that the owner can
+  // relay them.
+  kRefuse,
 };
 
 // Limits how one daemon's threads share an endpoint's connections.
@@ -53,6 +66,8 @@
  public:
   // Called without the lock, on the thread whose event led to the placement.
   using OnPlaced = std::function<void(const Placement&)>;
+  // Called without the lock when the service becomes reachable or unreachable.
+  using OnReach = std::function<void(const ServiceId&, bool is_reachable)>;
 
   // `on_waiting` runs after an event that left calls waiting, on the thread of
   // the event, so that probes are sent and Tick is called more often. `rates`
@@ -63,6 +78,9 @@
                     EndpointRates& rates,
                     std::function<void()> on_waiting);
 
+  // Must be called before the first call. `on_reach` does not run within
+  // SetService; the next Tick reports a change by it.
+  void SetWhenUnreachable(WhenUnreachable when, OnReach on_reach);
   // See Balancer::SetHostNumber.
   void SetHostNumber(const HostNumber& host_number);
   void SetService(const ServiceSpec& service,
@@ -113,6 +131,8 @@
   BalancerStatus Status(TimePoint now) const;
   // Returns false while this host reaches no endpoint of the service.
   bool IsReachable() const;
+  // Returns for how long that has been so; zero if it is reachable.
+  Duration UnreachableFor(TimePoint now) const;
 
   void CountProbe(std::uint64_t bytes);
   ProbeCost probe_cost() const;
@@ -126,7 +146,15 @@
   // Converts the balancer's decisions into placements; the caller must hold the
   // lock.
   std::vector<Placed> Resolve(const Decisions& decisions);
+  // Refuses the calls that wait although the service is unreachable; the caller
+  // must hold the lock.
+  void RefuseUnreachable(TimePoint now, std::vector<Placed>& placed);
+  bool RefusesCalls() const {
+    return when_unreachable_ == WhenUnreachable::kRefuse &&
+           reach_.is_unreachable();
+  }
   void NotifyCalls(std::vector<Placed>& placed, bool waiting);
+  void NotifyReach();
   // Logs endpoint state changes; the caller must hold the lock.
   void LogChanges();
   // Records whether an exchange, begun at `began_at`, had a response, and logs
@@ -156,6 +184,9 @@
   ServiceId service_;
   std::string health_path_;
   EndpointReach reach_;
+  WhenUnreachable when_unreachable_ = WhenUnreachable::kSend;
+  OnReach on_reach_;
+  bool reported_reachable_ = true;
   const std::unique_ptr<Balancer> balancer_;
   const std::function<void()> on_waiting_;
   std::unordered_map<CallToken, OnPlaced> waiting_;
--- a/tests/main/test_settings.cc
+++ b/tests/main/test_settings.cc
@@ -89,6 +89,19 @@
   CHECK(ErrorOf(both).kind == ErrorKind::kDuplicate);
 }
 
+// Guards against a host that takes relayed calls although nobody can know of
+// it, and against one without a store, which cannot relay any.
+TEST_CASE("relays need a store and a fleet") {
+  Json json = MakeValidStoreSettings();
+  json["proxy"]["relay_listen"] = "10.0.0.1:7540";
+  CHECK(ErrorOf(json) == Error{});
+  json.erase("fleet");
+  CHECK(ErrorOf(json).where == "proxy.relay_listen");
+  Json documents = MakeValidSettings();
+  documents["proxy"]["relay_listen"] = "10.0.0.1:7540";
+  CHECK(ErrorOf(documents).where == "proxy.relay_listen");
+}
+
 TEST_CASE("a missing required setting is reported by its name") {
   for (const char* it : {"/host", "/zone", "/proxy", "/proxy/listen", "/admin",
                          "/admin/listen", "/admin/token", "/platform",
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -102,6 +102,7 @@
     it.callers = ports_.Take();
     it.admin = ports_.Take();
     it.peers = ports_.Take();
+    it.relays = ports_.Take();
     it.caller_link = proxies_.Add(At(it.callers));
     it.store_link = proxies_.Add({"127.0.0.1", store_.port()});
     it.peer_link = proxies_.Add(At(it.peers));
@@ -139,6 +140,7 @@
                       {"zone", "z" + std::to_string(n % kZones)},
                       {"proxy",
                        {{"listen", ToString(At(host.callers))},
+                        {"relay_listen", ToString(At(host.relays))},
                         {"threads", 1},
                         {"connect_timeout", "250ms"},
                         {"endpoint_idle", "8500ms"},
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -104,6 +104,7 @@
     std::uint16_t callers = 0;
     std::uint16_t admin = 0;
     std::uint16_t peers = 0;
+    std::uint16_t relays = 0;
     std::uint16_t caller_link = 0;
     std::uint16_t store_link = 0;
     std::uint16_t peer_link = 0;
