The era of the store is read, and its change is logged

The lines name only the host's own revision, so that a store that lost its history and one that has gone back in time look the same.

Change, without effect on what is served: KvClient decodes the header Store-Era into PublishedItems, and the feed logs store-era-changed with both revisions. The store's double can keep a copy and return from it, counts its eras, and answers 410 to a watch from a revision that it does not have.

--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -225,7 +225,16 @@
   view_.ApplyFullRead(all, false, now);
 }
 
+void PublishedFeed::RecordEra(const PublishedItems& items) {
+  if (era_ && *era_ != items.era) {
+    spdlog::warn("event=store-era-changed from={} to={} revision={} current={}",
+                 *era_, items.era, view_.revision(), items.current);
+  }
+  era_ = items.era;
+}
+
 void PublishedFeed::OnReadAll(const PublishedItems& all, TimePoint now) {
+  RecordEra(all);
   view_.ApplyFullRead(all, IsAfterOutage(now), now);
   is_synced_ = true;
   backoff_ = Duration::zero();
@@ -237,6 +246,7 @@
 }
 
 void PublishedFeed::OnWatched(const PublishedItems& changes, TimePoint now) {
+  RecordEra(changes);
   view_.ApplyChanges(changes, IsAfterOutage(now), now);
   Confirm(now, own_reader_id_);
   if (!changes.items.empty()) {
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -102,6 +102,8 @@
   // disabled.
   std::optional<FeedStep> NextEarlyRead();
 
+  // Logs a return of the store from an older copy.
+  void RecordEra(const PublishedItems& items);
   void Confirm(TimePoint at, std::uint64_t reader);
   bool IsAfterOutage(TimePoint now) const;
   FeedUpdate MakeUpdate(Revision after,
@@ -178,6 +180,8 @@
   TimePoint next_hello_;
   Duration backoff_{};
   std::optional<TimePoint> store_regained_at_;
+  // The store's era in its last answer.
+  std::optional<StoreEra> era_;
 };
 
 }  // namespace damasktack
--- a/fleet/published_source.h
+++ b/fleet/published_source.h
@@ -1,6 +1,7 @@
 #ifndef FLEET_PUBLISHED_SOURCE_H_
 #define FLEET_PUBLISHED_SOURCE_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
@@ -14,6 +15,10 @@
 
 namespace damasktack {
 
+// Counts the returns of a store from an older copy of itself. Each return loses
+// the newest changes, and their revisions are given out again.
+using StoreEra = std::uint64_t;
+
 // An endpoint that is no longer published.
 struct RemovedEndpoint {
   EndpointId id;
@@ -69,6 +74,9 @@
   std::vector<PublishedItem> items;
   // All changes up to this revision are included.
   Revision current = 0;
+  // How often the store has returned from an older copy of itself; not sent to
+  // peers.
+  StoreEra era = 0;
 
   bool operator==(const PublishedItems&) const = default;
 };
--- a/tests/platform/test_kv_client.cc
+++ b/tests/platform/test_kv_client.cc
@@ -299,5 +299,30 @@
   CHECK(fault->kind == ErrorKind::kUnreachable);
 }
 
+TEST_CASE("answers name the store's era, and a watch across a return ends") {
+  StandinStore store;
+  store.PutJson("op/config", kRouteTableJson);
+  KvClient client({"127.0.0.1", store.port()});
+  const auto before =
+      Require<PublishedItems>([&] { return client.ReadAll(seconds(2)); });
+  CHECK(before.era == 0);
+  store.KeepCopy();
+  store.Put("other/key", "?");
+  store.ReturnFromCopy();
+  const auto after =
+      Require<PublishedItems>([&] { return client.ReadAll(seconds(2)); });
+  CHECK(after.era == 1);
+  CHECK(after.current == before.current);
+  const auto watched = Require<PublishedItems>(
+      [&] { return client.Watch(after.current, milliseconds(10)); });
+  CHECK(watched.era == 1);
+  const auto error = CaptureError([&]() -> leaf::result<void> {
+    BOOST_LEAF_CHECK(client.Watch(after.current + 1, milliseconds(10)));
+    return {};
+  });
+  REQUIRE(error);
+  CHECK(error->kind == ErrorKind::kStale);
+}
+
 }  // namespace
 }  // namespace damasktack
