Changes are ordered by the store's era first and its revision second

Cause: hosts order all they read by the store's revision and keep the maximum. A return gives revisions out again, so a reader's revision stood still: it served what it read, told its followers nothing, and asked for changes after a revision that the store did not have, 46 times a second.

Change: Store-Era and revision make one number (fleet/store_revision.h), so the existing order holds for the reader, for followers and between peers of which only one has seen the return. A watch that is answered in another era is not applied; everything is read again. The first read after a return restores no endpoint that had left until it writes again, keeps drains, and removes endpoints after the grace of an outage; a second full read settles the rest. Full reads after refused watches back off. Updates between hosts have new kinds, since earlier builds would take revisions of a later era for their store's.

--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -10,6 +10,7 @@
 
 #include "fleet/early_read_filter.h"
 #include "fleet/seed_order.h"
+#include "fleet/store_revision.h"
 
 namespace damasktack {
 
@@ -172,8 +173,9 @@
   if (!reads_store_) {
     peers_.ClearOutages();
   }
-  spdlog::info("event=store-reader reads={} rank={} revision={}", reads_store_,
-               rank_, view_.revision());
+  spdlog::info("event=store-reader reads={} rank={} era={} revision={}",
+               reads_store_, rank_, EraOf(view_.revision()),
+               StoreRevisionOf(view_.revision()));
 }
 
 Duration PublishedFeed::OutageInterval() const {
@@ -206,6 +208,7 @@
 // queue their requests until the read ends. The partial result is enough to
 // serve requests if it contains some endpoints of each service.
 void PublishedFeed::OnReadPart(PublishedItems part, TimePoint now) {
+  PutInEra(part);
   if (HasEndpointsForEachService(part)) {
     view_.ApplyPartialRead(part, now);
   }
@@ -214,6 +217,7 @@
 
 // Does not confirm the data: the replica may be stale.
 void PublishedFeed::OnReadEndpoints(PublishedItems all, TimePoint now) {
+  PutInEra(all);
   is_early_read_pending_ = false;
   early_read_done_at_ = now;
   if (early_part_) {
@@ -225,28 +229,49 @@
   view_.ApplyFullRead(all, false, now);
 }
 
+bool PublishedFeed::IsOtherEra(const PublishedItems& items) const {
+  return view_.revision() > 0 &&
+         EraOf(items.current) != EraOf(view_.revision());
+}
+
 void PublishedFeed::RecordEra(const PublishedItems& items) {
-  if (era_ && *era_ != items.era) {
-    spdlog::warn("event=store-era-changed from={} to={} revision={} current={}",
-                 *era_, items.era, view_.revision(), items.current);
-  }
-  era_ = items.era;
+  spdlog::warn("event=store-era-changed from={} to={} revision={} current={}",
+               EraOf(view_.revision()), EraOf(items.current),
+               StoreRevisionOf(view_.revision()),
+               StoreRevisionOf(items.current));
 }
 
-void PublishedFeed::OnReadAll(const PublishedItems& all, TimePoint now) {
-  RecordEra(all);
+void PublishedFeed::OnReadAll(PublishedItems all, TimePoint now) {
+  PutInEra(all);
+  if (IsOtherEra(all)) {
+    RecordEra(all);
+    store_regained_at_ = now;
+    settled_read_at_ = now + options_.post_outage_time;
+  }
   view_.ApplyFullRead(all, IsAfterOutage(now), now);
   is_synced_ = true;
   backoff_ = Duration::zero();
   if (std::exchange(lost_contact_, false)) {
     store_regained_at_ = now;
-    spdlog::info("event=store-regained revision={}", view_.revision());
+    spdlog::info("event=store-regained era={} revision={}",
+                 EraOf(view_.revision()), StoreRevisionOf(view_.revision()));
   }
   Confirm(now, own_reader_id_);
 }
 
-void PublishedFeed::OnWatched(const PublishedItems& changes, TimePoint now) {
-  RecordEra(changes);
+void PublishedFeed::OnWatched(PublishedItems changes, TimePoint now) {
+  PutInEra(changes);
+  if (IsOtherEra(changes)) {
+    // The base of these changes is a revision that the store gave out again.
+    is_synced_ = false;
+    next_call_ = now + RereadDelay();
+    return;
+  }
+  rereads_ = 0;
+  if (settled_read_at_ && now >= *settled_read_at_) {
+    settled_read_at_.reset();
+    is_synced_ = false;
+  }
   view_.ApplyChanges(changes, IsAfterOutage(now), now);
   Confirm(now, own_reader_id_);
   if (!changes.items.empty()) {
@@ -260,16 +285,31 @@
   ++counters_.failures;
   // The store has compacted its history; the store itself was reached.
   if (error.kind == ErrorKind::kStale) {
-    spdlog::info("event=store-history-lost revision={}", view_.revision());
+    spdlog::info("event=store-history-lost era={} revision={}",
+                 EraOf(view_.revision()), StoreRevisionOf(view_.revision()));
+    next_call_ = now + RereadDelay();
     return;
   }
   next_call_ = now + NextBackoff(now);
   if (!std::exchange(lost_contact_, true)) {
-    spdlog::warn("event=store-lost revision={} {}", view_.revision(),
+    spdlog::warn("event=store-lost era={} revision={} {}",
+                 EraOf(view_.revision()), StoreRevisionOf(view_.revision()),
                  ToString(error));
   }
 }
 
+// The first read follows at once, because changes wait for it. A store that
+// goes on refusing watches must not be read without a pause.
+Duration PublishedFeed::RereadDelay() {
+  if (rereads_++ == 0) {
+    return Duration::zero();
+  }
+  constexpr int kMaxDoublings = 10;
+  const int doublings = std::min(rereads_ - 2, kMaxDoublings);
+  return std::min(options_.min_backoff * (1 << doublings),
+                  options_.max_backoff);
+}
+
 Duration PublishedFeed::NextBackoff(TimePoint now) {
   if (!IsSeed() && IsOutageReported(now)) {
     return Jittered(OutageInterval());
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -41,8 +41,8 @@
   FeedStep NextStep(TimePoint now);
   void OnReadPart(PublishedItems part, TimePoint now);
   void OnReadEndpoints(PublishedItems all, TimePoint now);
-  void OnReadAll(const PublishedItems& all, TimePoint now);
-  void OnWatched(const PublishedItems& changes, TimePoint now);
+  void OnReadAll(PublishedItems all, TimePoint now);
+  void OnWatched(PublishedItems changes, TimePoint now);
   void OnFailure(const Error& error, TimePoint now);
 
   void OnLinkUp(const HostId& host, TimePoint now, Outbox& out);
@@ -102,8 +102,12 @@
   // disabled.
   std::optional<FeedStep> NextEarlyRead();
 
-  // Logs a return of the store from an older copy.
+  // Logs a return of the store from an older copy; `items` was read after it.
   void RecordEra(const PublishedItems& items);
+  // Returns whether the store is in another era than this host's data.
+  bool IsOtherEra(const PublishedItems& items) const;
+  // Returns the delay before the full read that follows a refused watch.
+  Duration RereadDelay();
   void Confirm(TimePoint at, std::uint64_t reader);
   bool IsAfterOutage(TimePoint now) const;
   FeedUpdate MakeUpdate(Revision after,
@@ -180,8 +184,10 @@
   TimePoint next_hello_;
   Duration backoff_{};
   std::optional<TimePoint> store_regained_at_;
-  // The store's era in its last answer.
-  std::optional<StoreEra> era_;
+  // Number of watches in a row that required a full read.
+  int rereads_ = 0;
+  // Time of the full read that confirms what the store held after its return.
+  std::optional<TimePoint> settled_read_at_;
 };
 
 }  // namespace damasktack
--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "fleet/peer_codec.h"
+#include "fleet/store_revision.h"
 
 namespace damasktack {
 
@@ -125,6 +126,11 @@
   return feed_.reads_store();
 }
 
+StoreEra PublishedLoop::store_era() const {
+  const std::lock_guard lock(mutex_);
+  return EraOf(feed_.view().revision());
+}
+
 std::optional<Duration> PublishedLoop::Age(TimePoint now) const {
   const std::lock_guard lock(mutex_);
   return feed_.Age(now);
@@ -189,7 +195,7 @@
   Revision after = 0;
   {
     const std::lock_guard lock(mutex_);
-    after = feed_.view().revision();
+    after = StoreRevisionOf(feed_.view().revision());
   }
   CallStore([&] { return source_.Watch(after, step.time); },
             [&](const PublishedItems& items) {
--- a/fleet/published_loop.h
+++ b/fleet/published_loop.h
@@ -66,6 +66,8 @@
 
   FeedCounters counters() const;
   bool reads_store() const;
+  // Returns the store's era in this host's data.
+  StoreEra store_era() const;
   // Returns the time since the store last confirmed the data; null before the
   // first confirmation.
   std::optional<Duration> Age(TimePoint now) const;
--- a/fleet/published_messages.h
+++ b/fleet/published_messages.h
@@ -42,10 +42,10 @@
 // Changes after a revision. Without changes it confirms that the revision is
 // still the newest.
 struct FeedUpdate {
-  // Daemons that do not know the table format ignore this kind. Under the
-  // previous kind they would read an update without a list of objects as one
-  // without changes.
-  static constexpr std::string_view kKind = "feed-tables";
+  // Daemons that do not know eras ignore this kind. Under the previous kind
+  // they would take revisions of a later era for their store's, and no change
+  // that they read themselves would be newer.
+  static constexpr std::string_view kKind = "feed-eras";
 
   // Base revision: the receiver must have all changes up to it.
   Revision after = 0;
@@ -80,7 +80,7 @@
 // in order; the last one confirms them all. It has its own kind because a
 // daemon that does not know ranges would take a part for the full update.
 struct FeedPart {
-  static constexpr std::string_view kKind = "feed-part";
+  static constexpr std::string_view kKind = "feed-era-part";
 
   FeedUpdate update;
   EndpointRange range;
--- a/fleet/published_source.h
+++ b/fleet/published_source.h
@@ -63,7 +63,8 @@
                                     UnreadableValue>;
 
 struct PublishedItem {
-  // Revision of the last change; revisions increase across all items.
+  // Revision of the last change; revisions increase across all items within one
+  // era of the store.
   Revision revision = 0;
   PublishedValue value;
 
@@ -97,7 +98,9 @@
   // the endpoints, ReadEndpoints all endpoints.
   virtual leaf::result<PublishedItems> ReadPart(Duration timeout) = 0;
   virtual leaf::result<PublishedItems> ReadEndpoints(Duration timeout) = 0;
-  // Waits up to `wait` for changes after a revision and returns them.
+  // Waits up to `wait` for changes after a revision of the store and returns
+  // them. The store may have returned from a copy meanwhile; the era of the
+  // result tells.
   virtual leaf::result<PublishedItems> Watch(Revision after, Duration wait) = 0;
   // Makes a pending call fail at once.
   virtual void Interrupt() = 0;
--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include "fleet/store_revision.h"
+
 namespace damasktack {
 
 namespace {
@@ -61,13 +63,25 @@
 void PublishedView::ApplyFullRead(const PublishedItems& all,
                                   bool after_outage,
                                   TimePoint now) {
+  const bool has_returned =
+      revision_ > 0 && EraOf(all.current) > EraOf(revision_);
+  if (has_returned) {
+    RenewRemovals(all.current);
+  }
   Present present;
   for (const PublishedItem& it : all.items) {
     present.Add(it.value);
     Apply(it, after_outage, now);
     MarkChangedForPeers(it);
   }
-  Retain(present, {}, all.current, after_outage, now);
+  if (has_returned) {
+    // The operator writes a drain that is not in the copy once more; the next
+    // full read ends those that it does not.
+    for (const ZoneId& it : drained_zones_.InForce()) {
+      present.drained.insert(it);
+    }
+  }
+  Retain(present, {}, all.current, after_outage || has_returned, now);
   MarkCompleteAt(all.current);
 }
 
@@ -110,6 +124,16 @@
   }
 }
 
+// The copy may list endpoints that had left before the store returned. A live
+// endpoint writes its entry again with its next heartbeat.
+void PublishedView::RenewRemovals(Revision current) {
+  removal_order_.clear();
+  for (auto& [id, revision] : removed_) {
+    revision = std::max(revision, current);
+    removal_order_.insert({revision, id});
+  }
+}
+
 void PublishedView::MarkCompleteAt(Revision revision) {
   revision_ = std::max(revision_, revision);
   if (!complete_after_) {
--- a/fleet/published_view.h
+++ b/fleet/published_view.h
@@ -16,8 +16,9 @@
 namespace damasktack {
 
 // Merges full reads and incremental changes into the published data as seen by
-// one host. It is a pure state machine. Revisions and versions only increase,
-// so a delayed read or a response from a stale replica cannot restore old data.
+// one host. It is a pure state machine. Revisions (see fleet/store_revision.h)
+// and versions only increase, so a delayed read, a response from a stale
+// replica or a store that returns from an older copy cannot restore old data.
 class PublishedView {
  public:
   // How long an endpoint that is missing after a store outage is kept. Its
@@ -35,7 +36,9 @@
       std::chrono::milliseconds(1700);
 
   // Applies a full read. Endpoints missing from it are removed; after a store
-  // outage only once kMissingGrace has passed.
+  // outage, or if the store has returned from an older copy, only once
+  // kMissingGrace has passed. After a return, endpoints that had been removed
+  // before stay removed until they are written again.
   void ApplyFullRead(const PublishedItems& all,
                      bool after_outage,
                      TimePoint now);
@@ -122,6 +125,7 @@
               Revision current,
               bool after_outage,
               TimePoint now);
+  void RenewRemovals(Revision current);
   // Records that the view is complete up to a revision.
   void MarkCompleteAt(Revision revision);
   void ApplyRoutes(const RouteTable& table, Revision revision);
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -310,6 +310,8 @@
   }
   out << "# TYPE damasktack_store_reader gauge\n"
       << "damasktack_store_reader " << published_.reads_store() << "\n"
+      << "# TYPE damasktack_store_era gauge\n"
+      << "damasktack_store_era " << published_.store_era() << "\n"
       << "# TYPE damasktack_published_age_seconds gauge\n"
       << "damasktack_published_age_seconds "
       << std::chrono::duration<double>(age).count() << "\n";
--- a/tests/fleet/test_published_view.cc
+++ b/tests/fleet/test_published_view.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "fleet/published_messages.h"
+#include "fleet/store_revision.h"
 
 namespace damasktack {
 namespace {
@@ -283,5 +284,54 @@
   CHECK(part.whole);
 }
 
+PublishedItems InEra(StoreEra era, PublishedItems items) {
+  items.era = era;
+  PutInEra(items);
+  return items;
+}
+
+TEST_CASE("a later era orders after every revision of an earlier one") {
+  CHECK(MakeRevision(0, 17) == 17);
+  CHECK(MakeRevision(1, 1) > MakeRevision(0, kMaxStoreRevision));
+  CHECK(EraOf(MakeRevision(3, 9)) == 3);
+  CHECK(StoreRevisionOf(MakeRevision(3, 9)) == 9);
+}
+
+// Guards against an endpoint that gets calls again after it has left, because
+// the store has returned from a copy that still lists it.
+TEST_CASE("an endpoint of the copy that had left waits for its next write") {
+  PublishedView view;
+  view.ApplyFullRead(Single(5, MakeEndpoint(100)), false, kStart);
+  view.ApplyChanges(Single(9, RemovedEndpoint{EndpointId("e1")}), false,
+                    kStart);
+  view.ApplyFullRead(InEra(1, Single(5, MakeEndpoint(100))), false, kStart);
+  CHECK(!EndpointIn(view));
+  view.ApplyChanges(InEra(1, Single(6, MakeEndpoint(100))), false, kStart);
+  CHECK(EndpointIn(view));
+}
+
+// Guards against an endpoint that is lost because the copy is older than it,
+// and against one that stays although it is gone.
+TEST_CASE("an endpoint that the copy lacks is kept for a while") {
+  PublishedView view;
+  view.ApplyFullRead(Single(9, MakeEndpoint(100)), false, kStart);
+  view.ApplyFullRead(InEra(1, PublishedItems{{}, 5}), false, kStart);
+  CHECK(EndpointIn(view));
+  view.Advance(kStart + PublishedView::kMissingGrace);
+  CHECK(!EndpointIn(view));
+}
+
+// Guards against calls to a zone that the operator has drained, in the moment
+// before the operator writes the drain again.
+TEST_CASE("a drain that the copy lacks lasts until the next full read") {
+  PublishedView view;
+  const ZoneDrain drain{ZoneId("a"), true};
+  view.ApplyFullRead(Single(9, drain), false, kStart);
+  view.ApplyFullRead(InEra(1, PublishedItems{{}, 5}), false, kStart);
+  CHECK(view.drained_zones().InForce().size() == 1);
+  view.ApplyFullRead(InEra(1, PublishedItems{{}, 6}), false, kStart);
+  CHECK(view.drained_zones().InForce().empty());
+}
+
 }  // namespace
 }  // namespace damasktack
--- a/tests/main/test_store_return.cc
+++ b/tests/main/test_store_return.cc
@@ -187,6 +187,23 @@
   CHECK(it.CountArrivals(0) > 0);
 }
 
+// Guards against a watch that goes on after a return, from a revision that the
+// store has given out again with other content.
+TEST_CASE("a return that no refused watch shows is noticed") {
+  ReturningStore it;
+  it.store().KeepCopy();
+  it.PublishVersion(2);
+  std::this_thread::sleep_for(milliseconds(500));
+  it.store().ReturnFromCopy();
+  // Changes at the revisions that were lost, and more.
+  it.PutEndpoint(1, "draining");
+  it.LoseChanges();
+  it.PublishVersion(2);
+  std::this_thread::sleep_for(kChangeTime);
+  CHECK(it.IsVersionInForce());
+  CHECK(it.CountArrivals(1) == 0);
+}
+
 // Guards against an endpoint that gets calls again because the copy still
 // lists it.
 TEST_CASE("an endpoint that has left does not come back with the copy") {
