--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -155,7 +155,8 @@
   }
 
   bool IsBlocked(const ConnectionPair& pair, LinkFault direction) const {
-    return pair.is_lost || pair.is_cut || fault_ == direction || fault_ == LinkFault::kCutBoth;
+    return pair.is_lost || pair.is_cut || fault_ == direction ||
+           fault_ == LinkFault::kCutBoth;
   }
 
   asio::awaitable<void> Sleep(Duration time) {
--- a/tests/soak/partition_run.cc
+++ b/tests/soak/partition_run.cc
@@ -53,10 +53,9 @@
                                      {"X-Damasktack-Deadline-Ms", "1500"}};
       ledger_.RecordSent(call, idempotent);
       const Phase phase = phase_;
-      const auto answer =
-          idempotent
-              ? client.Get("/read/" + call, headers)
-              : client.Post("/write/" + call, headers, "body", "text/plain");
+      const auto answer = idempotent ? client.Get("/read/" + call, headers)
+                                     : client.Post("/write/" + call, headers,
+                                                   "body", "text/plain");
       const bool is_served = answer && answer->status == 200 &&
                              answer->body == "ran " + call + " at s";
       if (answer) {
@@ -64,10 +63,9 @@
       }
       if (phase != Phase::kNotCounted && phase == phase_) {
         const std::lock_guard lock(mutex_);
-        ServedCalls& counts = phase == Phase::kAfter ? outcome_.after
-                              : host < plan_.cut_hosts
-                                  ? outcome_.at_cut_hosts
-                                  : outcome_.at_others;
+        ServedCalls& counts = phase == Phase::kAfter   ? outcome_.after
+                              : host < plan_.cut_hosts ? outcome_.at_cut_hosts
+                                                       : outcome_.at_others;
         ++counts.sent;
         counts.served += is_served ? 1 : 0;
       }
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -197,10 +197,9 @@
                             Json::array({kFragileService, "/health", 0, 0}),
                             Json::array({kColdService, "/health", cold_seconds,
                                          kColdRate})})}};
-  store_.PutJson(
-      "op/config",
-      Json{{"version", next}, {"routes", routes}, {"services", services}}
-          .dump());
+  Write("op/config",
+        Json{{"version", next}, {"routes", routes}, {"services", services}}
+            .dump());
   version_ = next;
 }
 
@@ -209,7 +208,7 @@
   Json entry = EndpointEntry(it.server->service(), ZoneOf(n), state);
   entry["address"] = Local(it.link);
   entry["born"] = it.generation;
-  store_.PutJson("servers/" + it.server->id(), entry.dump());
+  Write("servers/" + it.server->id(), entry.dump());
 }
 
 void SoakFleet::PutFragileEndpoints() {
@@ -218,7 +217,7 @@
         "X-Damasktack-Request-Id", kFragileDowntime));
     Json entry = EndpointEntry(kFragileService, ZoneOf(n), "ready");
     entry["address"] = Local(fragile_.back()->port());
-    store_.PutJson("servers/f" + std::to_string(n), entry.dump());
+    Write("servers/f" + std::to_string(n), entry.dump());
   }
 }
 
@@ -238,7 +237,7 @@
   entry["address"] = Local(endpoint.port());
   entry["info"]["slots"] = SlotEndpoint::kSlots;
   entry["status"]["cold_ms"] = left.count();
-  store_.PutJson("servers/" + endpoint.id(), entry.dump());
+  Write("servers/" + endpoint.id(), entry.dump());
 }
 
 int SoakFleet::crashes() const {
@@ -250,11 +249,11 @@
 }
 
 void SoakFleet::DrainZone(int zone) {
-  store_.PutJson("op/evacuate/z" + std::to_string(zone), "{}");
+  Write("op/evacuate/z" + std::to_string(zone), "{}");
 }
 
 void SoakFleet::ReleaseZone(int zone) {
-  store_.Remove("op/evacuate/z" + std::to_string(zone));
+  Erase("op/evacuate/z" + std::to_string(zone));
 }
 
 void SoakFleet::Drain(int endpoint) {
@@ -262,7 +261,7 @@
 }
 
 void SoakFleet::Remove(int endpoint) {
-  store_.Remove("servers/" + endpoints_[endpoint].server->id());
+  Erase("servers/" + endpoints_[endpoint].server->id());
 }
 
 void SoakFleet::Replace(int endpoint) {
@@ -331,6 +330,27 @@
   }
 }
 
+void SoakFleet::Write(const std::string& key, const std::string& json) {
+  written_[key] = json;
+  store_.PutJson(key, json);
+}
+
+void SoakFleet::Erase(const std::string& key) {
+  written_[key].reset();
+  store_.Remove(key);
+}
+
+void SoakFleet::ReturnStore() {
+  store_.ReturnFromCopy();
+  for (const auto& [key, json] : written_) {
+    if (json) {
+      store_.PutJson(key, *json);
+    } else {
+      store_.Remove(key);
+    }
+  }
+}
+
 void SoakFleet::CheckStop(int n, TimePoint now) {
   Host& host = hosts_[n];
   if (!host.terminated_at || now - *host.terminated_at < kStopGracePeriod) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -2,6 +2,7 @@
 #define TESTS_SOAK_SOAK_FLEET_H_
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -67,6 +68,9 @@
   // Partitions hosts from the endpoints of the service that most calls go to,
   // and from nothing else. An empty set ends the partition.
   void PartitionFromEndpoints(const std::set<int>& hosts, Partition partition);
+  // Lets the store return from its last copy. The operator and the endpoints
+  // write again what they had written.
+  void ReturnStore();
   StandinStore& store() { return store_; }
 
   // The steps by which an endpoint is replaced: its entry says that it drains,
@@ -123,6 +127,8 @@
   };
 
   SocketAddress At(std::uint16_t port) const { return {ip_, port}; }
+  void Write(const std::string& key, const std::string& json);
+  void Erase(const std::string& key);
   void StartHost(int n);
   std::string SettingsOf(int n) const;
   std::string PathOf(int n, const std::string& suffix) const;
@@ -137,6 +143,8 @@
   const std::string ip_;
   FreePorts ports_;
   StandinStore store_{100};
+  // The last value written to each key; null if it was removed.
+  std::map<std::string, std::optional<std::string>> written_;
   FaultProxies proxies_;
   std::vector<Host> hosts_;
   std::vector<std::atomic<int>> generations_;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -58,7 +58,8 @@
       random_(plan.seed),
       fleet_(plan.size, ledger_),
       cold_random_(plan.seed),
-      cold_phases_(fleet_, plan.seed) {
+      cold_phases_(fleet_, plan.seed),
+      network_(fleet_, plan.seed) {
   ledger_.RecordSent("check", true);
 }
 
@@ -252,6 +253,7 @@
   const TimePoint end = Clock::now() + plan_.fault_phase;
   while (Clock::now() < end) {
     BeginRandomFault();
+    network_.Tick(Clock::now());
     RunFor(milliseconds(Draw(kMaxGapMs)));
   }
 }
@@ -338,6 +340,7 @@
 
 void SoakRun::WaitForRecovery() {
   RecoverAll();
+  network_.EndAll();
   // Wait for pending stops and restarts.
   const TimePoint last = Clock::now() + seconds(15);
   while (!fleet_.AllRun() && Clock::now() < last) {
@@ -368,8 +371,8 @@
     }
   }
   cold_phases_.CheckPeakRates(ledger_);
-  return {ledger_.calls(), ledger_.answered(200), faults_,
-          ledger_.Violations()};
+  const int faults = faults_ + network_.partitions() + network_.returns();
+  return {ledger_.calls(), ledger_.answered(200), faults, ledger_.Violations()};
 }
 
 }  // namespace damasktack
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -9,6 +9,7 @@
 
 #include "tests/soak/cold_callers.h"
 #include "tests/soak/cold_phase_injector.h"
+#include "tests/soak/network_injector.h"
 #include "tests/soak/soak_callers.h"
 #include "tests/soak/soak_fleet.h"
 #include "tests/soak/soak_recorder.h"
@@ -77,6 +78,7 @@
   SoakFleet fleet_;
   std::mt19937_64 cold_random_;
   ColdPhaseInjector cold_phases_;
+  NetworkInjector network_;
   TimePoint next_cold_phase_;
   std::vector<PendingRecovery> pending_recoveries_;
   int faults_ = 0;
--- a/tests/soak/test_partition.cc
+++ b/tests/soak/test_partition.cc
@@ -35,8 +35,12 @@
 // from all endpoints, although other hosts reach both.
 TEST_CASE("callers of hosts partitioned from all endpoints are served") {
   PartitionPlan plan;
-  SUBCASE("connections hang") { plan.partition = Partition::kHang; }
-  SUBCASE("connections are reset") { plan.partition = Partition::kReset; }
+  SUBCASE("connections hang") {
+    plan.partition = Partition::kHang;
+  }
+  SUBCASE("connections are reset") {
+    plan.partition = Partition::kReset;
+  }
   SUBCASE("new connections are refused") {
     plan.partition = Partition::kRefuseNew;
   }
--- a/tests/soak/test_soak.cc
+++ b/tests/soak/test_soak.cc
@@ -22,8 +22,9 @@
 }
 
 // Injects random, overlapping faults: hosts are killed, stopped, suspended and
-// restarted, links fail, the store rejects requests and drops its history,
-// endpoints drain and are replaced at the same address, and new configuration
+// restarted, links fail, hosts are partitioned from all endpoints, the store
+// rejects requests, drops its history and returns from older copies, endpoints
+// drain and are replaced at the same address, and new configuration
 // versions are published. Checks the responses against the executed requests,
 // and that no host goes back to an older version.
 TEST_CASE("promises hold under random faults") {
