Drains are what a returned store says; explain follows relayed calls

A drain that the copy lacked was kept until a second full read. The first read decides now, as it does for endpoints; its revision is of a new era, so it is passed on.

Probes that ask whether a service is reachable again are sent only where calls are refused for it; elsewhere the balancer's own probes notice, within their budget. damasktackctl explain shows a relayed call on both hosts.

--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -234,7 +234,7 @@
          EraOf(items.current) != EraOf(view_.revision());
 }
 
-void PublishedFeed::RecordEra(const PublishedItems& items) {
+void PublishedFeed::LogEraChange(const PublishedItems& items) {
   spdlog::warn("event=store-era-changed from={} to={} revision={} current={}",
                EraOf(view_.revision()), EraOf(items.current),
                StoreRevisionOf(view_.revision()),
@@ -244,9 +244,8 @@
 void PublishedFeed::OnReadAll(PublishedItems all, TimePoint now) {
   PutInEra(all);
   if (IsOtherEra(all)) {
-    RecordEra(all);
+    LogEraChange(all);
     store_regained_at_ = now;
-    settled_read_at_ = now + options_.post_outage_time;
   }
   view_.ApplyFullRead(all, IsAfterOutage(now), now);
   is_synced_ = true;
@@ -268,10 +267,6 @@
     return;
   }
   rereads_ = 0;
-  if (settled_read_at_ && now >= *settled_read_at_) {
-    settled_read_at_.reset();
-    is_synced_ = false;
-  }
   view_.ApplyChanges(changes, IsAfterOutage(now), now);
   Confirm(now, own_reader_id_);
   if (!changes.items.empty()) {
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -103,7 +103,7 @@
   std::optional<FeedStep> NextEarlyRead();
 
   // Logs a return of the store from an older copy; `items` was read after it.
-  void RecordEra(const PublishedItems& items);
+  void LogEraChange(const PublishedItems& items);
   // Returns whether the store is in another era than this host's data.
   bool IsOtherEra(const PublishedItems& items) const;
   // Returns the delay before the full read that follows a refused watch.
@@ -186,8 +186,6 @@
   std::optional<TimePoint> store_regained_at_;
   // Number of watches in a row that required a full read.
   int rereads_ = 0;
-  // Time of the full read that confirms what the store held after its return.
-  std::optional<TimePoint> settled_read_at_;
 };
 
 }  // namespace damasktack
--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -74,13 +74,6 @@
     Apply(it, after_outage, now);
     MarkChangedForPeers(it);
   }
-  if (has_returned) {
-    // The operator writes a drain that is not in the copy once more; the next
-    // full read ends those that it does not.
-    for (const ZoneId& it : drained_zones_.InForce()) {
-      present.drained.insert(it);
-    }
-  }
   Retain(present, {}, all.current, after_outage || has_returned, now);
   MarkCompleteAt(all.current);
 }
--- a/main/call_explainer.cc
+++ b/main/call_explainer.cc
@@ -44,6 +44,12 @@
             "run"},
     Meaning{"queue-full", "too many calls were waiting on the host"},
     Meaning{"stopping", "the host was about to stop"},
+    Meaning{"unreachable",
+            "the host reached no endpoint of the service, and no peer took the "
+            "call; it did not run"},
+    Meaning{"relay-refused",
+            "the peer takes no relayed calls now, or not from this fleet; it "
+            "did not run there"},
 };
 
 std::string_view FindMeaning(std::string_view failure) {
@@ -86,6 +92,20 @@
   return text;
 }
 
+bool IsRelay(const LogLine& line) {
+  return line.event == "call-relayed" || line.event == "relay-taken";
+}
+
+std::string ExplainRelay(const LogLine& line) {
+  const std::string text = "on " + line.host + ": ";
+  if (line.event == "relay-taken") {
+    return text + "taken from " + line.Value("from") + ", which relayed it";
+  }
+  return text + "offered to " + line.Value("peer") +
+         ", because no endpoint of " + line.Value("service") +
+         " had been reached for " + line.Value("unreachable_ms") + " ms";
+}
+
 // Returns whether a host's event is relevant to a call. Events that concern a
 // single endpoint are relevant only for the call's endpoints, and "cold-send"
 // only for the call itself.
@@ -142,18 +162,23 @@
   std::set<std::string> endpoints;
   std::map<std::string, std::string> last_line_times;
   for (const LogLine& it : lines) {
-    if (it.event == "call-ended" && it.Value("call") == call) {
-      explanation.calls.push_back(it);
-      explanation.explanations.push_back(Explain(it));
+    const bool is_end = it.event == "call-ended";
+    if ((!is_end && !IsRelay(it)) || it.Value("call") != call) {
+      continue;
+    }
+    explanation.calls.push_back(it);
+    explanation.explanations.push_back(is_end ? Explain(it) : ExplainRelay(it));
+    if (is_end) {
       endpoints.insert(it.Value("endpoint"));
-      last_line_times[it.host] = it.time;
     }
+    last_line_times[it.host] = it.time;
   }
   std::map<std::string, std::vector<LogLine>> prior_events;
   for (const LogLine& it : lines) {
     const auto last = last_line_times.find(it.host);
-    if (it.event != "call-ended" && last != last_line_times.end() &&
-        it.time <= last->second && IsRelevant(it, call, endpoints)) {
+    if (it.event != "call-ended" && !IsRelay(it) &&
+        last != last_line_times.end() && it.time <= last->second &&
+        IsRelevant(it, call, endpoints)) {
       prior_events[it.host].push_back(it);
     }
   }
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -247,10 +247,8 @@
 
 std::optional<ProbeRequest> ServiceDispatcher::NextProbe(TimePoint now) {
   const std::lock_guard lock(mutex_);
-  if (const std::optional<EndpointId> id = reach_.NextProbe(now)) {
-    if (const auto index = balancer_->FindEndpoint(*id)) {
-      return ProbeRequest{*index, TargetOf(*index), true};
-    }
+  if (const std::optional<ProbeRequest> probe = NextReachProbe(now)) {
+    return probe;
   }
   const std::optional<EndpointIndex> next = balancer_->NextProbe(now);
   if (!next) {
@@ -325,6 +323,19 @@
   }
 }
 
+// Without calls that are refused, the balancer's own probes notice the return,
+// within the budget of probes.
+std::optional<ProbeRequest> ServiceDispatcher::NextReachProbe(TimePoint now) {
+  const std::optional<EndpointId> id =
+      RefusesCalls() ? reach_.NextProbe(now) : std::nullopt;
+  const std::optional<EndpointIndex> index =
+      id ? balancer_->FindEndpoint(*id) : std::nullopt;
+  if (!index) {
+    return std::nullopt;
+  }
+  return ProbeRequest{*index, TargetOf(*index), true};
+}
+
 void ServiceDispatcher::RefuseUnreachable(TimePoint now,
                                           std::vector<Placed>& placed) {
   if (!RefusesCalls()) {
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -149,6 +149,9 @@
   // Refuses the calls that wait although the service is unreachable; the caller
   // must hold the lock.
   void RefuseUnreachable(TimePoint now, std::vector<Placed>& placed);
+  // Returns the next probe that asks whether the service is reachable again.
+  // The caller must hold the lock.
+  std::optional<ProbeRequest> NextReachProbe(TimePoint now);
   bool RefusesCalls() const {
     return when_unreachable_ == WhenUnreachable::kRefuse &&
            reach_.is_unreachable();
--- a/tests/main/test_call_explainer.cc
+++ b/tests/main/test_call_explainer.cc
@@ -66,6 +66,31 @@
   CHECK(events == "started ;store-lost ;endpoint-state e1;cold-send e1;");
 }
 
+// Guards against relayed calls whose way cannot be followed over both hosts.
+TEST_CASE("a relayed call is explained on the host that relays and the peer") {
+  std::istringstream first(
+      "[2026-12-02 10:00:02.000] [damasktack] [info] event=call-relayed "
+      "call=c-1 service=s peer=h2 reason=unreachable unreachable_ms=900 "
+      "left_out=0\n"
+      "[2026-12-02 10:00:02.050] [damasktack] [info] event=call-relayed "
+      "call=c-9 service=s peer=h2 reason=unreachable unreachable_ms=950 "
+      "left_out=0\n");
+  std::istringstream second(
+      "[2026-12-02 10:00:02.001] [damasktack] [info] event=relay-taken "
+      "call=c-1 from=h1 left_out=0\n");
+  std::vector<LogLine> lines = ReadLog(first, "h1");
+  for (const LogLine& it : ReadLog(second, "h2")) {
+    lines.push_back(it);
+  }
+  const CallExplanation found = ExplainCall("c-1", std::move(lines));
+  REQUIRE(found.explanations.size() == 2);
+  CHECK(found.explanations[0] ==
+        "on h1: offered to h2, because no endpoint of s had been reached for "
+        "900 ms");
+  CHECK(found.explanations[1] == "on h2: taken from h1, which relayed it");
+  CHECK(found.prior_events.empty());
+}
+
 TEST_CASE("a call without a log line has no explanation") {
   CHECK(ExplainCall("c-2", ReadBothLogs()).calls.empty());
 }
