--- a/proxy/routing_table.cc
+++ b/proxy/routing_table.cc
@@ -3,10 +3,11 @@
 #include <openssl/evp.h>
 
 #include <algorithm>
-#include <array>
 #include <cctype>
 #include <utility>
 
+#include "wire/hex.h"
+
 namespace damasktack {
 
 namespace {
@@ -37,17 +38,13 @@
 }  // namespace
 
 std::string Sha256Hex(std::string_view text) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  std::string digest(EVP_MAX_MD_SIZE, '\0');
   unsigned n = 0;
-  EVP_Digest(text.data(), text.size(), digest.data(), &n, EVP_sha256(),
+  EVP_Digest(text.data(), text.size(),
+             reinterpret_cast<unsigned char*>(digest.data()), &n, EVP_sha256(),
              nullptr);
-  std::string hex;
-  for (unsigned i = 0; i < n; ++i) {
-    hex += kDigits[digest[i] >> 4];
-    hex += kDigits[digest[i] & 0xf];
-  }
-  return hex;
+  digest.resize(n);
+  return ToHex(digest);
 }
 
 RoutingTable::RoutingTable(const ContractList& contracts,
--- a/wire/link_auth.cc
+++ b/wire/link_auth.cc
@@ -1,13 +1,13 @@
 #include "wire/link_auth.h"
 
 #include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
 #include <openssl/rand.h>
 
 #include <array>
 #include <cstdlib>
 
+#include "wire/hmac.h"
+
 namespace damasktack {
 
 namespace {
@@ -34,15 +34,6 @@
   return number;
 }
 
-std::string Hmac(std::string_view key, std::string_view text) {
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned int n = 0;
-  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-       reinterpret_cast<const unsigned char*>(text.data()), text.size(),
-       digest.data(), &n);
-  return std::string(digest.begin(), digest.begin() + n);
-}
-
 // Moves the first `n` bytes of `bytes` to `out`. Returns false and changes
 // nothing if there are fewer.
 bool TakeFront(std::string_view& bytes, std::size_t n, std::string_view& out) {
@@ -104,11 +95,11 @@
   transcript += dialer_greeting;
   transcript += EncodeNumber(acceptor_greeting.size());
   transcript += acceptor_greeting;
-  link_key_ = Hmac(fleet_key, transcript);
+  link_key_ = HmacSha256(fleet_key, transcript);
 }
 
 std::string LinkSecrets::Derive(std::string_view label) const {
-  return Hmac(link_key_, label);
+  return HmacSha256(link_key_, label);
 }
 
 bool ConstantTimeEquals(std::string_view left, std::string_view right) {
@@ -119,7 +110,7 @@
 std::string FrameAuthenticator::TagFor(std::string_view payload) const {
   std::string text = EncodeNumber(next_);
   text += payload;
-  return Hmac(key_, text).substr(0, kFrameTagBytes);
+  return HmacSha256(key_, text).substr(0, kFrameTagBytes);
 }
 
 std::string FrameAuthenticator::Seal(std::string_view payload) {
