Events of a dispatcher end in one place, under one lock

Five events each resolved decisions, refused unreachable calls and counted those that wait, and took the lock once more to ask whether the service's reach had changed: on every end of a send, report and tick. EndEvent does so under the lock that the event holds already, and Notify runs the callbacks. Order of the callbacks as before; a change of reach by a new list is reported by the next event of any kind, no longer only by those that are not offers.

--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -59,22 +59,20 @@
 void ServiceDispatcher::Offer(const CallOffer& offer,
                               OnPlaced on_placed,
                               TimePoint now) {
-  Decisions decisions;
-  std::vector<Placed> placed;
-  bool waiting = false;
+  Notices notices;
   {
     const std::lock_guard lock(mutex_);
     waiting_.emplace(offer.token, std::move(on_placed));
+    Decisions decisions;
     if (RefusesCalls()) {
       decisions.rejections.push_back(
           {offer.token, Refusal::kUnreachable, kUnreachableRetryAfter});
     } else {
       balancer_->Offer(offer, now, decisions);
     }
-    placed = Resolve(decisions);
-    waiting = balancer_->waiting() > 0;
+    notices = EndEvent(decisions, now);
   }
-  NotifyCalls(placed, waiting);
+  Notify(notices);
 }
 
 bool ServiceDispatcher::Withdraw(CallToken token, TimePoint now) {
@@ -90,10 +88,8 @@
                                     const SendEnd& end,
                                     OnPlaced on_placed,
                                     TimePoint now) {
-  Decisions decisions;
-  std::vector<Placed> placed;
+  Notices notices;
   AfterSend after = AfterSend::kDone;
-  bool waiting = false;
   std::optional<StatedRate> stated;
   {
     const std::lock_guard lock(mutex_);
@@ -110,17 +106,15 @@
         balancer_->OnSignals(end.endpoint, *end.signals, now - end.took, now);
       });
     }
+    Decisions decisions;
     after = balancer_->Finish(offer, end, now, decisions);
     if (after == AfterSend::kDone) {
       waiting_.erase(offer.token);
     }
-    placed = Resolve(decisions);
-    RefuseUnreachable(now, placed);
-    waiting = balancer_->waiting() > 0;
+    notices = EndEvent(decisions, now);
   }
   PublishRateLimit(stated);
-  NotifyReach();
-  NotifyCalls(placed, waiting);
+  Notify(notices);
   return after;
 }
 
@@ -134,19 +128,16 @@
 void ServiceDispatcher::Report(EndpointIndex endpoint,
                                const EndpointReport& report,
                                TimePoint now) {
-  Decisions decisions;
-  std::vector<Placed> placed;
-  bool waiting = false;
+  Notices notices;
   {
     const std::lock_guard lock(mutex_);
     RecordReach(endpoint, SendResult::kAnswered, now, now);
     RecordDrain(endpoint, report);
+    Decisions decisions;
     balancer_->Report(endpoint, report, now, decisions);
-    placed = Resolve(decisions);
-    waiting = balancer_->waiting() > 0;
+    notices = EndEvent(decisions, now);
   }
-  NotifyReach();
-  NotifyCalls(placed, waiting);
+  Notify(notices);
 }
 
 void ServiceDispatcher::OnProbeSignals(const ProbeRequest& probe,
@@ -197,19 +188,15 @@
                                     SendResult result,
                                     TimePoint began_at,
                                     TimePoint now) {
-  Decisions decisions;
-  std::vector<Placed> placed;
-  bool waiting = false;
+  Notices notices;
   {
     const std::lock_guard lock(mutex_);
     RecordReach(endpoint, result, began_at, now);
+    Decisions decisions;
     balancer_->ProbeFailed(endpoint, result, now, decisions);
-    placed = Resolve(decisions);
-    RefuseUnreachable(now, placed);
-    waiting = balancer_->waiting() > 0;
+    notices = EndEvent(decisions, now);
   }
-  NotifyReach();
-  NotifyCalls(placed, waiting);
+  Notify(notices);
 }
 
 void ServiceDispatcher::OnPeerDrain(const EndpointId& endpoint, TimePoint now) {
@@ -230,18 +217,16 @@
 }
 
 bool ServiceDispatcher::Tick(TimePoint now) {
-  Decisions decisions;
-  std::vector<Placed> placed;
-  bool waiting = false;
+  Notices notices;
   {
     const std::lock_guard lock(mutex_);
+    Decisions decisions;
     balancer_->Tick(now, decisions);
-    placed = Resolve(decisions);
-    RefuseUnreachable(now, placed);
-    waiting = balancer_->waiting() > 0;
+    notices = EndEvent(decisions, now);
   }
-  NotifyReach();
-  NotifyCalls(placed, false);
+  // The owner of the ticks is told by the result.
+  const bool waiting = std::exchange(notices.waiting, false);
+  Notify(notices);
   return waiting;
 }
 
@@ -353,20 +338,18 @@
   }
 }
 
-void ServiceDispatcher::NotifyReach() {
-  ServiceId service;
-  bool is_reachable = true;
-  {
-    const std::lock_guard lock(mutex_);
-    is_reachable = !reach_.is_unreachable();
-    if (is_reachable == std::exchange(reported_reachable_, is_reachable)) {
-      return;
-    }
-    service = service_;
-  }
-  if (on_reach_) {
-    on_reach_(service, is_reachable);
+ServiceDispatcher::Notices ServiceDispatcher::EndEvent(
+    const Decisions& decisions,
+    TimePoint now) {
+  Notices notices;
+  notices.placed = Resolve(decisions);
+  RefuseUnreachable(now, notices.placed);
+  notices.waiting = balancer_->waiting() > 0;
+  const bool is_reachable = !reach_.is_unreachable();
+  if (std::exchange(reported_reachable_, is_reachable) != is_reachable) {
+    notices.reach = ReachChange{service_, is_reachable};
   }
+  return notices;
 }
 
 void ServiceDispatcher::RecordReach(EndpointIndex endpoint,
@@ -396,11 +379,14 @@
                service_.text(), reach_.failing(), ToMs(silent));
 }
 
-void ServiceDispatcher::NotifyCalls(std::vector<Placed>& placed, bool waiting) {
-  for (Placed& it : placed) {
+void ServiceDispatcher::Notify(const Notices& notices) {
+  if (notices.reach && on_reach_) {
+    on_reach_(notices.reach->service, notices.reach->is_reachable);
+  }
+  for (const Placed& it : notices.placed) {
     it.on_placed(it.placement);
   }
-  if (waiting && on_waiting_) {
+  if (notices.waiting && on_waiting_) {
     on_waiting_();
   }
 }
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -79,7 +79,7 @@
                     std::function<void()> on_waiting);
 
   // Must be called before the first call. `on_reach` does not run within
-  // SetService; the next Tick reports a change by it.
+  // SetService; the next event reports a change by it.
   void SetWhenUnreachable(WhenUnreachable when, OnReach on_reach);
   // See Balancer::SetHostNumber.
   void SetHostNumber(const HostNumber& host_number);
@@ -142,6 +142,16 @@
     OnPlaced on_placed;
     Placement placement;
   };
+  struct ReachChange {
+    ServiceId service;
+    bool is_reachable = true;
+  };
+  // What an event led to, for the callbacks.
+  struct Notices {
+    std::vector<Placed> placed;
+    bool waiting = false;
+    std::optional<ReachChange> reach;
+  };
 
   // Converts the balancer's decisions into placements; the caller must hold the
   // lock.
@@ -156,8 +166,11 @@
     return when_unreachable_ == WhenUnreachable::kRefuse &&
            reach_.is_unreachable();
   }
-  void NotifyCalls(std::vector<Placed>& placed, bool waiting);
-  void NotifyReach();
+  // Ends an event: carries out the decisions and returns what to notify of. The
+  // caller must hold the lock.
+  Notices EndEvent(const Decisions& decisions, TimePoint now);
+  // Runs the callbacks; the caller must not hold the lock.
+  void Notify(const Notices& notices);
   // Logs endpoint state changes; the caller must hold the lock.
   void LogChanges();
   // Records whether an exchange, begun at `began_at`, had a response, and logs
