--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -83,30 +83,26 @@
   }
 }
 
+template <typename Action>
+void PublishedLoop::ForEachExchange(Action action) {
+  const auto apply = [&](auto& exchange) {
+    if (exchange) {
+      action(exchange);
+    }
+  };
+  apply(crashes_);
+  apply(rate_exchange_);
+  apply(relay_exchange_);
+}
+
 void PublishedLoop::ConnectExchanges() {
-  if (crashes_) {
-    crashes_->SetOnUpdates([this] { SendExchangeUpdate(crashes_); });
-  }
-  if (rate_exchange_) {
-    rate_exchange_->SetOnUpdates(
-        [this] { SendExchangeUpdate(rate_exchange_); });
-  }
-  if (relay_exchange_) {
-    relay_exchange_->SetOnUpdates(
-        [this] { SendExchangeUpdate(relay_exchange_); });
-  }
+  ForEachExchange([this](auto& it) {
+    it->SetOnUpdates([this, &it] { SendExchangeUpdate(it); });
+  });
 }
 
 void PublishedLoop::DisconnectExchanges() {
-  if (crashes_) {
-    crashes_->SetOnUpdates({});
-  }
-  if (rate_exchange_) {
-    rate_exchange_->SetOnUpdates({});
-  }
-  if (relay_exchange_) {
-    relay_exchange_->SetOnUpdates({});
-  }
+  ForEachExchange([](auto& it) { it->SetOnUpdates({}); });
 }
 
 void PublishedLoop::SetSeeds(std::vector<SocketAddress> seeds) {
--- a/fleet/published_loop.h
+++ b/fleet/published_loop.h
@@ -96,6 +96,9 @@
   // that produced them, because the loop thread may be waiting for the store.
   template <typename Exchange>
   void SendExchangeUpdate(std::optional<Exchange>& exchange);
+  // Applies `action` to each exchange that is in use.
+  template <typename Action>
+  void ForEachExchange(Action action);
   void ConnectExchanges();
   void DisconnectExchanges();
 
