--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <string>
 #include <utility>
 
 #include "fleet/early_read_filter.h"
@@ -20,6 +21,11 @@
 constexpr Duration kLongestWait = std::chrono::seconds(1);
 constexpr Duration kShortestWait = std::chrono::milliseconds(1);
 
+std::string ToLogFields(Revision revision) {
+  return "era=" + std::to_string(EraOf(revision)) +
+         " revision=" + std::to_string(StoreRevisionOf(revision));
+}
+
 }  // namespace
 
 PublishedFeed::PublishedFeed(PublishedFeedOptions options,
@@ -173,9 +179,8 @@
   if (!reads_store_) {
     peers_.ClearOutages();
   }
-  spdlog::info("event=store-reader reads={} rank={} era={} revision={}",
-               reads_store_, rank_, EraOf(view_.revision()),
-               StoreRevisionOf(view_.revision()));
+  spdlog::info("event=store-reader reads={} rank={} {}", reads_store_, rank_,
+               ToLogFields(view_.revision()));
 }
 
 Duration PublishedFeed::OutageInterval() const {
@@ -252,8 +257,7 @@
   backoff_ = Duration::zero();
   if (std::exchange(lost_contact_, false)) {
     store_regained_at_ = now;
-    spdlog::info("event=store-regained era={} revision={}",
-                 EraOf(view_.revision()), StoreRevisionOf(view_.revision()));
+    spdlog::info("event=store-regained {}", ToLogFields(view_.revision()));
   }
   Confirm(now, own_reader_id_);
 }
@@ -266,7 +270,7 @@
     next_call_ = now + RereadDelay();
     return;
   }
-  rereads_ = 0;
+  reread_delay_ = Duration::zero();
   view_.ApplyChanges(changes, IsAfterOutage(now), now);
   Confirm(now, own_reader_id_);
   if (!changes.items.empty()) {
@@ -280,15 +284,13 @@
   ++counters_.failures;
   // The store has compacted its history; the store itself was reached.
   if (error.kind == ErrorKind::kStale) {
-    spdlog::info("event=store-history-lost era={} revision={}",
-                 EraOf(view_.revision()), StoreRevisionOf(view_.revision()));
+    spdlog::info("event=store-history-lost {}", ToLogFields(view_.revision()));
     next_call_ = now + RereadDelay();
     return;
   }
   next_call_ = now + NextBackoff(now);
   if (!std::exchange(lost_contact_, true)) {
-    spdlog::warn("event=store-lost era={} revision={} {}",
-                 EraOf(view_.revision()), StoreRevisionOf(view_.revision()),
+    spdlog::warn("event=store-lost {} {}", ToLogFields(view_.revision()),
                  ToString(error));
   }
 }
@@ -296,13 +298,10 @@
 // The first read follows at once, because changes wait for it. A store that
 // goes on refusing watches must not be read without a pause.
 Duration PublishedFeed::RereadDelay() {
-  if (rereads_++ == 0) {
-    return Duration::zero();
-  }
-  constexpr int kMaxDoublings = 10;
-  const int doublings = std::min(rereads_ - 2, kMaxDoublings);
-  return std::min(options_.min_backoff * (1 << doublings),
-                  options_.max_backoff);
+  const Duration delay = reread_delay_;
+  reread_delay_ =
+      std::clamp(2 * delay, options_.min_backoff, options_.max_backoff);
+  return delay;
 }
 
 Duration PublishedFeed::NextBackoff(TimePoint now) {
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -184,8 +184,8 @@
   TimePoint next_hello_;
   Duration backoff_{};
   std::optional<TimePoint> store_regained_at_;
-  // Number of watches in a row that required a full read.
-  int rereads_ = 0;
+  // Delay before the next full read that a refused watch requires.
+  Duration reread_delay_{};
 };
 
 }  // namespace damasktack
