Tests of routes and relays share one builder of their routes

The route table, service and endpoints of both fixtures were the same but for what routes have in common, which each fixture states now. EndOf of a relay uses no member and is a function of the file.

--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -19,8 +19,8 @@
 
 // Handles one complete request: admits it, routes it, sends it to an endpoint
 // with retries, or relays it to a peer while no endpoint can be reached, and
-// returns the answer. Used on one I/O thread only; must be
-// owned by a shared_ptr until Handle has returned.
+// returns the answer. Used on one I/O thread only; must be owned by a
+// shared_ptr until Handle has returned.
 class CallHandler : public std::enable_shared_from_this<CallHandler> {
  public:
   CallHandler(ProxyState& state, ProxyLoop& loop, CallOrigin origin);
--- a/proxy/call_relay.cc
+++ b/proxy/call_relay.cc
@@ -20,6 +20,17 @@
   return target;
 }
 
+RelayEnd EndOf(const ExchangeResult& sent) {
+  if (sent.answer && sent.answer->count(kRelayRefusedHeader) > 0) {
+    return RelayEnd::kRefused;
+  }
+  // The caller or the deadline ended the exchange, which says nothing of the
+  // peer.
+  const bool is_aborted = sent.result == SendResult::kCancelled ||
+                          sent.result == SendResult::kTimedOut;
+  return sent.answer || is_aborted ? RelayEnd::kTaken : RelayEnd::kLost;
+}
+
 }  // namespace
 
 void CallRelay::Cancel() {
@@ -66,17 +77,6 @@
   co_return sent;
 }
 
-RelayEnd CallRelay::EndOf(const ExchangeResult& sent) const {
-  if (sent.answer && sent.answer->count(kRelayRefusedHeader) > 0) {
-    return RelayEnd::kRefused;
-  }
-  // The caller or the deadline ended the exchange, which says nothing of the
-  // peer.
-  const bool is_aborted = sent.result == SendResult::kCancelled ||
-                          sent.result == SendResult::kTimedOut;
-  return sent.answer || is_aborted ? RelayEnd::kTaken : RelayEnd::kLost;
-}
-
 asio::awaitable<CallRelay::Result> CallRelay::Run(HttpRequest& request,
                                                   const Call& call) {
   Result result;
--- a/proxy/call_relay.h
+++ b/proxy/call_relay.h
@@ -58,7 +58,6 @@
   asio::awaitable<ExchangeResult> SendTo(const RelayHost& peer,
                                          HttpRequest& request,
                                          const Call& call);
-  RelayEnd EndOf(const ExchangeResult& sent) const;
   // Returns the outcome stated by the peer; null if its answer does not say.
   std::optional<Outcome> ReadOutcome(const HttpResponse& answer) const;
 
--- a/tests/proxy/proxy_fixture.cc
+++ b/tests/proxy/proxy_fixture.cc
@@ -77,6 +77,34 @@
   return end == std::string::npos ? "" : answer.substr(end + 4);
 }
 
+RoutingTablePtr MakeReadWriteRoutes(const std::vector<std::uint16_t>& ports,
+                                    const Route& traits) {
+  auto book = std::make_shared<RouteTable>();
+  book->version = 1;
+  book->services = {{ServiceId("s"), "/health", 250}};
+  for (const bool idempotent : {true, false}) {
+    Route route = traits;
+    route.host = "a.example";
+    route.prefix = idempotent ? "/read/" : "/write/";
+    route.idempotent = idempotent;
+    route.targets = {{ServiceId("s"), 1}};
+    route.contract.customer = CustomerId(route.prefix);
+    book->routes.push_back(route);
+  }
+  ServiceSpec service;
+  service.id = ServiceId("s");
+  service.health_path = "/health";
+  service.echoes_call = true;
+  for (const std::uint16_t port : ports) {
+    EndpointSpec endpoint;
+    endpoint.id = EndpointId("i-" + std::to_string(service.endpoints.size()));
+    endpoint.address = {"127.0.0.1", port};
+    endpoint.slots = 16;
+    service.endpoints.push_back(endpoint);
+  }
+  return std::make_shared<RoutingTable>(book, std::vector{service});
+}
+
 ProxyOptions ProxyFixture::FastOptions() {
   ProxyOptions options;
   options.listen = SocketAddress{"127.0.0.1", 0};
--- a/tests/proxy/proxy_fixture.h
+++ b/tests/proxy/proxy_fixture.h
@@ -26,6 +26,12 @@
 int StatusOf(const std::string& answer);
 std::string BodyOf(const std::string& answer);
 
+// Returns routes of "a.example" to service "s": "/read/" is idempotent,
+// "/write/" is not. The endpoints "i-0", "i-1" and so on listen on `ports`.
+// `traits` holds what both routes have in common.
+RoutingTablePtr MakeReadWriteRoutes(const std::vector<std::uint16_t>& ports,
+                                    const Route& traits);
+
 // A CallerServer with endpoints, without the rest of the daemon.
 class ProxyFixture {
  public:
--- a/tests/proxy/test_call_relay.cc
+++ b/tests/proxy/test_call_relay.cc
@@ -120,24 +120,7 @@
   ~Host() { server_->Stop(); }
 
   void SetEndpoints(const std::vector<std::uint16_t>& ports) {
-    auto book = std::make_shared<RouteTable>();
-    book->version = 1;
-    book->services = {{ServiceId("s"), "/health", 250}};
-    book->routes = {MakeRoute("/read/", true), MakeRoute("/write/", false)};
-    ServiceSpec service;
-    service.id = ServiceId("s");
-    service.health_path = "/health";
-    service.echoes_call = true;
-    for (const std::uint16_t port : ports) {
-      EndpointSpec endpoint;
-      endpoint.id = EndpointId("i-" + std::to_string(service.endpoints.size()));
-      endpoint.address = {"127.0.0.1", port};
-      endpoint.slots = 16;
-      service.endpoints.push_back(endpoint);
-    }
-    state_->SetRouting(
-        std::make_shared<RoutingTable>(book, std::vector{service}), 1,
-        Clock::now());
+    state_->SetRouting(MakeReadWriteRoutes(ports, Traits()), 1, Clock::now());
   }
   void SetPeers(const std::vector<const Host*>& peers) {
     std::vector<RelayHost> hosts;
@@ -168,16 +151,11 @@
   CallerServer& server() const { return *server_; }
 
  private:
-  static Route MakeRoute(const std::string& prefix, bool idempotent) {
+  static Route Traits() {
     Route route;
-    route.host = "a.example";
-    route.prefix = prefix;
-    route.idempotent = idempotent;
     route.timeout = milliseconds(1500);
     route.latency_objective = milliseconds(1000);
-    route.targets = {{ServiceId("s"), 1}};
     route.attempt_limit = 2;
-    route.contract.customer = CustomerId(prefix);
     return route;
   }
 
--- a/tests/proxy/test_published_routes.cc
+++ b/tests/proxy/test_published_routes.cc
@@ -51,24 +51,7 @@
     options.balancer.retries.service_percent = 100;
     state_ = std::make_unique<ProxyState>(options, limits_, claims_);
     server_ = std::make_unique<CallerServer>(*state_);
-    auto book = std::make_shared<RouteTable>();
-    book->version = 1;
-    book->services = {{ServiceId("s"), "/health", 250}};
-    book->routes = {MakeRoute("/read/", true), MakeRoute("/write/", false)};
-    ServiceSpec service;
-    service.id = ServiceId("s");
-    service.health_path = "/health";
-    service.echoes_call = true;
-    for (const std::uint16_t port : ports) {
-      EndpointSpec endpoint;
-      endpoint.id = EndpointId("i-" + std::to_string(service.endpoints.size()));
-      endpoint.address = {"127.0.0.1", port};
-      endpoint.slots = 16;
-      service.endpoints.push_back(endpoint);
-    }
-    state_->SetRouting(
-        std::make_shared<RoutingTable>(book, std::vector{service}), 1,
-        Clock::now());
+    state_->SetRouting(MakeReadWriteRoutes(ports, Traits()), 1, Clock::now());
     Try([&] { return server_->Start(); },
         [](const Error& error) { FAIL(ToString(error)); });
   }
@@ -83,15 +66,10 @@
   }
 
  private:
-  static Route MakeRoute(const std::string& prefix, bool idempotent) {
+  static Route Traits() {
     Route route;
-    route.host = "a.example";
-    route.prefix = prefix;
-    route.idempotent = idempotent;
     route.timeout = milliseconds(1000);
     route.latency_objective = milliseconds(400);
-    route.targets = {{ServiceId("s"), 1}};
-    route.contract.customer = CustomerId(prefix);
     route.contract.retry_percent = 100;
     return route;
   }
