Downloads may run more than once; unknown kinds are logged

Cause: the adapter knew only the kind "safe" as idempotent, although downloads are to be treated alike. A failed download was never sent again, and calls of an unlisted kind fell through without a line.

--- a/tests/platform/test_kv_client.cc
+++ b/tests/platform/test_kv_client.cc
@@ -1,9 +1,14 @@
 #include "platform/kv_client.h"
 
 #include <doctest/doctest.h>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
 
+#include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "platform/kv_codec.h"
 #include "platform/standin/standin_store.h"
@@ -93,6 +98,38 @@
   CHECK(!ErrorOf([&] { return CheckRouteTable(route_table); }));
 }
 
+// Decodes a route of the kind; returns whether its requests may run again and
+// what was logged.
+std::pair<bool, std::string> DecodeKind(const std::string& kind) {
+  std::ostringstream log;
+  const auto before = spdlog::default_logger();
+  spdlog::set_default_logger(std::make_shared<spdlog::logger>(
+      "test", std::make_shared<spdlog::sinks::ostream_sink_mt>(log)));
+  std::string json = kRouteTableJson;
+  const std::string safe = R"("safe")";
+  json.replace(json.find(safe), safe.size(), '"' + kind + '"');
+  const auto route_table =
+      Require<RouteTable>([&] { return DecodeRouteTable(ToCbor(json)); });
+  spdlog::set_default_logger(before);
+  return {route_table.routes[0].idempotent, log.str()};
+}
+
+// Guards against downloads that are not sent again after a lost answer.
+TEST_CASE("downloads are idempotent") {
+  const auto [is_idempotent, log] = DecodeKind("download");
+  CHECK(is_idempotent);
+  CHECK(log.empty());
+}
+
+// Guards against a kind of a later version whose requests run twice, or are
+// never repeated without anyone noticing.
+TEST_CASE("an unknown kind is not idempotent and is logged") {
+  const auto [is_idempotent, log] = DecodeKind("later");
+  CHECK(!is_idempotent);
+  CHECK(log.find("event=route-kind-unknown route=r-1 kind=later") !=
+        std::string::npos);
+}
+
 TEST_CASE("a published endpoint is decoded") {
   const auto endpoint = Require<PublishedEndpoint>(
       [] { return DecodeEndpoint("i-1", ToCbor(kEndpointJson)); });
