Settings and interfaces for hedging, urgency, slack, returns and answer memory

Cause: five parts are built side by side and need the same switches and the same small additions to Balancer.

Result: contract_tests and platform_tests pass; no decision changes.

--- a/contract/route.cc
+++ b/contract/route.cc
@@ -96,4 +96,25 @@
   }
 }
 
+std::map<ServiceId, RouteMix> FindRouteMixes(const RouteTable& table) {
+  struct Seen {
+    std::set<Urgency> urgencies;
+    std::set<Duration> objectives;
+  };
+  std::map<ServiceId, Seen> seen;
+  for (const Route& route : table.routes) {
+    for (const RouteTarget& it : route.targets) {
+      if (it.weight > 0) {
+        seen[it.service].urgencies.insert(route.urgency);
+        seen[it.service].objectives.insert(route.latency_objective);
+      }
+    }
+  }
+  std::map<ServiceId, RouteMix> mixes;
+  for (const auto& [service, it] : seen) {
+    mixes[service] = {it.urgencies.size(), it.objectives.size() > 1};
+  }
+  return mixes;
+}
+
 }  // namespace damasktack
--- a/contract/route.h
+++ b/contract/route.h
@@ -1,7 +1,9 @@
 #ifndef CONTRACT_ROUTE_H_
 #define CONTRACT_ROUTE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -98,6 +100,10 @@
 // services, because requests compete only within a service.
 void AssignUrgencies(RouteTable& table, const std::vector<std::int64_t>& ranks);
 
+// Returns, for each service, what the routes that send requests to it have in
+// common. Targets of weight 0 do not count.
+std::map<ServiceId, RouteMix> FindRouteMixes(const RouteTable& table);
+
 // One endpoint as published by the platform.
 struct PublishedEndpoint {
   ServiceId service;
--- a/contract/service.h
+++ b/contract/service.h
@@ -2,6 +2,7 @@
 #define CONTRACT_SERVICE_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -54,6 +55,16 @@
   }
 };
 
+// What the routes that send requests to a service have in common.
+struct RouteMix {
+  // Number of different urgencies.
+  std::size_t urgencies = 1;
+  // Whether the routes have different latency objectives.
+  bool has_mixed_objectives = false;
+
+  bool operator==(const RouteMix&) const = default;
+};
+
 // One service: requests whose path starts with `prefix` are sent to its
 // endpoints.
 struct ServiceSpec {
@@ -69,6 +80,8 @@
   // See ServiceTraits.
   Duration cold_time{};
   double cold_rate = 0;
+  // Derived from the routes; not part of the published service.
+  RouteMix route_mix;
   std::vector<EndpointSpec> endpoints;
 
   bool operator==(const ServiceSpec&) const = default;
--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -80,6 +80,29 @@
   visitor.Number("cold_slack", options.measured.cold.slack, 0, 10'000, "calls",
                  "calls that all hosts together may send to a cold endpoint "
                  "beyond cold_overshoot");
+  visitor.Number(
+      "hedge_timeout_factor", options.hedge_timeout_factor, 0, 100,
+      "times the objective",
+      "calls of an idempotent route may be sent to a second endpoint "
+      "while the first send is in flight if the route's timeout is "
+      "at least this multiple of its latency objective; 0 disables "
+      "this");
+  visitor.Flag("urgency_admission", options.urgency_admission,
+               "refuse less urgent calls first while a service that routes of "
+               "several urgencies share is short of free slots");
+  visitor.Flag("slack_placement", options.slack_placement,
+               "send calls that can wait to slower endpoints while a service "
+               "that routes of different objectives share is short of free "
+               "slots");
+  visitor.Number("return_pacing_factor", options.return_pacing_factor, 0, 100,
+                 "times the objective",
+                 "spread the return of refused callers of a route over time if "
+                 "the route's timeout is at least this multiple of its latency "
+                 "objective; 0 disables this");
+  visitor.Count("answer_memory_bytes", options.answer_memory_bytes, 0,
+                1LL << 40, "bytes",
+                "maximum bytes of answers that this host holds; 0 means no "
+                "limit");
   visitor.Time("tick", options.tick, milliseconds(1), seconds(1),
                "interval at which deadlines of waiting calls are checked");
 }
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -122,6 +122,12 @@
     service.cold_time = it.cold_time;
     service.cold_rate = it.cold_rate;
   }
+  for (const auto& [id, mix] : FindRouteMixes(*state.routes)) {
+    const auto service = services.find(id);
+    if (service != services.end()) {
+      service->second.route_mix = mix;
+    }
+  }
   std::map<ServiceId, std::int64_t> connections;
   for (const ServiceTraits& it : state.routes->services) {
     connections[it.id] = it.connections;
--- a/policy/balancer.h
+++ b/policy/balancer.h
@@ -42,6 +42,28 @@
 // What to do with a call after its send has ended.
 enum class AfterSend : std::uint8_t { kDone, kRetry };
 
+// A call whose first send is in flight and that may get a second one.
+struct HedgeRequest {
+  // The offer of the second send, with a token of its own. `is_retry` is set,
+  // so that the second send is never retried by itself.
+  CallOffer offer;
+  CallToken first_token = 0;
+  // Endpoint of the first send.
+  EndpointIndex first = 0;
+  // Time since the first send began.
+  Duration in_flight{};
+  // Sends of this call so far, the first send included.
+  int sends = 1;
+};
+
+// Exactly one of the members is set, or none if the call gets no second send.
+struct HedgeDecision {
+  // Send the call a second time, now.
+  std::optional<Dispatch> dispatch;
+  // Ask again after this time.
+  std::optional<Duration> ask_again_after;
+};
+
 struct BalancerStatus {
   EndpointTableStatus table;
   std::size_t waiting = 0;
@@ -79,6 +101,13 @@
                            const SendEnd& end,
                            TimePoint now,
                            Decisions& out) = 0;
+  // Decides whether a call gets a second send while its first one is in flight.
+  // A dispatch is accounted like any other; its end is reported with Finish and
+  // the offer of the request.
+  virtual HedgeDecision DecideHedge(const HedgeRequest& /*request*/,
+                                    TimePoint /*now*/) {
+    return {};
+  }
   // Returns how long the caller should wait before it tries again, for a call
   // whose last send ended without an execution. Zero stands for the default of
   // the kind of failure.
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -53,6 +53,21 @@
   // Selects how calls are placed: by probing at decision time (true), or by
   // this host's own calls and endpoints' reports (false).
   bool measures_before_sending = false;
+  // A call of an idempotent route may be hedged if the route's timeout is at
+  // least this multiple of its latency objective; 0 disables hedging.
+  double hedge_timeout_factor = 0;
+  // Whether less urgent calls are refused first while a service that routes of
+  // several urgencies share is short of free slots.
+  bool urgency_admission = false;
+  // Whether calls that can wait are sent to slower endpoints while a service
+  // that routes of different objectives share is short of free slots.
+  bool slack_placement = false;
+  // Refused calls of a route are told to return at different times if the
+  // route's timeout is at least this multiple of its latency objective; 0
+  // disables this.
+  double return_pacing_factor = 0;
+  // Limit on the bytes of answers that this host holds; 0 means no limit.
+  std::int64_t answer_memory_bytes = 0;
   BalancerOptions balancer;
   MeasuredBalancerOptions measured;
   Duration tick = std::chrono::milliseconds(2);
--- a/tests/contract/test_route.cc
+++ b/tests/contract/test_route.cc
@@ -4,7 +4,10 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <chrono>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace damasktack {
 namespace {
@@ -52,5 +55,29 @@
   }));
 }
 
+// Guards against parts for competing routes that act at a service with one kind
+// of calls, or because of a target that gets no traffic.
+TEST_CASE("a service's route mix counts the routes that send to it") {
+  RouteTable table;
+  const auto add = [&](Urgency urgency, Duration objective,
+                       std::vector<RouteTarget> targets) {
+    Route route;
+    route.urgency = urgency;
+    route.latency_objective = objective;
+    route.targets = std::move(targets);
+    table.routes.push_back(std::move(route));
+  };
+  const ServiceId shared("shared");
+  const ServiceId alone("alone");
+  const std::chrono::milliseconds fast(150);
+  const std::chrono::milliseconds slow(800);
+  add(Urgency::kUrgent, fast, {{shared, 1}});
+  add(Urgency::kNormal, slow, {{shared, 1}, {alone, 1}});
+  add(Urgency::kBulk, fast, {{alone, 0}, {shared, 1}});
+  const auto mixes = FindRouteMixes(table);
+  CHECK(mixes.at(shared) == RouteMix{3, true});
+  CHECK(mixes.at(alone) == RouteMix{1, false});
+}
+
 }  // namespace
 }  // namespace damasktack
