Serve calls at endpoints that never report their load

Cause: MeasuredBalancer counted an answer to a probe without a load report as a failed probe, so an idle endpoint looked eight times slower for 800 ms. A call that was answered without a report stayed in the estimate of the calls at its endpoint. After a few sends every endpoint looked full, no call was sent, and the eight answers after which a service counts as one without reports never came.

Change: an answer to a probe without a report shows that the endpoint serves and counts towards those eight answers. The endpoint is not probed again within the time in which a report is fresh. An answer to a call without a report ends its part of the estimate.

--- a/policy/endpoint_measure.cc
+++ b/policy/endpoint_measure.cc
@@ -9,6 +9,7 @@
   asked_at_ = now - report.asked_before;
   probe_sent_at_.reset();
   failed_at_.reset();
+  unreported_at_.reset();
   pace_ = report.pace;
   calls_ = report.in_flight + report.queued;
   sent_since_ = 0;
@@ -19,6 +20,12 @@
   failed_at_ = now;
 }
 
+void EndpointMeasure::OnProbeUnreported(TimePoint now) {
+  probe_sent_at_.reset();
+  failed_at_.reset();
+  unreported_at_ = now;
+}
+
 double EndpointMeasure::WeightAt(TimePoint now, Duration memory) const {
   return reported_at_ ? Decay(now - *reported_at_, memory) : 0;
 }
--- a/policy/endpoint_measure.h
+++ b/policy/endpoint_measure.h
@@ -1,6 +1,7 @@
 #ifndef POLICY_ENDPOINT_MEASURE_H_
 #define POLICY_ENDPOINT_MEASURE_H_
 
+#include <algorithm>
 #include <optional>
 
 #include "core/time.h"
@@ -25,10 +26,14 @@
  public:
   void OnReport(const EndpointReport& report, TimePoint now);
   void OnSend() { ++sent_since_; }
-  // Records that a probe was sent (OnProbe) or ended without a report
-  // (OnProbeFailed).
+  // Records that a call was answered without a report. Without it, the calls
+  // sent to an endpoint that never reports would count forever.
+  void OnAnswerUnreported() { sent_since_ = std::max(0, sent_since_ - 1); }
+  // Records that a probe was sent (OnProbe), failed (OnProbeFailed) or was
+  // answered without a report (OnProbeUnreported).
   void OnProbe(TimePoint now) { probe_sent_at_ = now; }
   void OnProbeFailed(TimePoint now);
+  void OnProbeUnreported(TimePoint now);
 
   bool IsFresh(TimePoint now, Duration fresh) const {
     return reported_at_ && now - *reported_at_ <= fresh;
@@ -44,6 +49,13 @@
     return failed_at_ && *failed_at_ >= earliest;
   }
 
+  // Returns whether a probe has ended without a report since `earliest`, so
+  // that another one would hardly return one.
+  bool WasProbedInVainSince(TimePoint earliest) const {
+    return FailedSince(earliest) ||
+           (unreported_at_ && *unreported_at_ >= earliest);
+  }
+
   // Estimates for `now`; `memory` is the time constant with which a report
   // loses its weight.
   double Pace(const MeasurePrior& prior, Duration memory, TimePoint now) const;
@@ -71,6 +83,7 @@
   TimePoint asked_at_;
   std::optional<TimePoint> probe_sent_at_;
   std::optional<TimePoint> failed_at_;
+  std::optional<TimePoint> unreported_at_;
   double pace_ = 1;
   double calls_ = 0;
   int sent_since_ = 0;
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -36,8 +36,8 @@
 // A failed probe within this time makes an endpoint the last choice.
 constexpr Duration kProbeFailureHoldTime = std::chrono::milliseconds(800);
 constexpr double kProbeFailureCostFactor = 8;
-// Number of answers without any report after which a service is assumed to send
-// none.
+// Number of answers to calls and probes without any report after which a
+// service is assumed to send none.
 constexpr std::uint64_t kAnswersWithoutReport = 8;
 
 bool HasHadCalls(const EndpointRecord& record) {
@@ -328,6 +328,7 @@
     OnReport(end.endpoint, *end.report, now);
   } else if (end.result == SendResult::kAnswered) {
     ++answers_without_report_;
+    measures_[end.endpoint].OnAnswerUnreported();
   }
   // The relative time is left at 1: reports already show slow endpoints, and a
   // comparison between endpoints would eject those that are slow for half a
@@ -375,6 +376,13 @@
 void MeasuredEndpoints::OnProbeFailed(EndpointIndex endpoint,
                                       SendResult result,
                                       TimePoint now) {
+  // An endpoint that answers without a report serves. It may be one that never
+  // reports its load.
+  if (result == SendResult::kAnswered) {
+    ++answers_without_report_;
+    measures_[endpoint].OnProbeUnreported(now);
+    return;
+  }
   measures_[endpoint].OnProbeFailed(now);
   if (result == SendResult::kMisdirected) {
     roster_.OnMisdirected(endpoint, now);
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -89,6 +89,7 @@
                        std::optional<double> rate_limit,
                        TimePoint stated_at);
   void OnProbe(EndpointIndex endpoint, TimePoint now);
+  // Handles a probe that returned no report.
   void OnProbeFailed(EndpointIndex endpoint, SendResult result, TimePoint now);
   void OnPeerDrain(const EndpointId& id, TimePoint now);
   std::vector<EndpointChange> TakeChanges();
--- a/policy/probe_planner.cc
+++ b/policy/probe_planner.cc
@@ -63,7 +63,7 @@
   for (const EndpointIndex it : endpoints_.usable()) {
     const EndpointMeasure& measure = endpoints_.measure(it);
     const bool is_known = endpoints_.IsFresh(it, now) || measure.HasProbe() ||
-                          measure.FailedSince(now - options_.fresh);
+                          measure.WasProbedInVainSince(now - options_.fresh);
     if (!is_known && endpoints_.IsProbeUseful(call, it, now)) {
       unknown.push_back(endpoints_.EvaluateForProbe(it, now));
     }
--- a/tests/policy/test_measured_balancer.cc
+++ b/tests/policy/test_measured_balancer.cc
@@ -801,5 +801,53 @@
   }
 }
 
+// Guards against calls that are refused at idle endpoints because none of them
+// reports its load: a probe that is answered without a report counted as a
+// failure of the endpoint, and calls that had ended counted as running there.
+TEST_CASE("calls to idle endpoints that never report are served") {
+  constexpr int kCalls = 200;
+  constexpr Duration kExecution = milliseconds(160);
+  for (const int slots : {1, 2, 4}) {
+    ServiceSpec service = MakeService(5);
+    for (EndpointSpec& it : service.endpoints) {
+      it.slots = slots;
+    }
+    MeasuredBalancer balancer(MakeOptions(), 7);
+    TimePoint now = kStart;
+    balancer.SetService(service, 1, now);
+    std::map<CallToken, CallOffer> calls;
+    std::multimap<TimePoint, SendEnd> ends;
+    int served = 0;
+    for (CallToken token = 1; now < kStart + milliseconds(100) * (kCalls + 10);
+         now += milliseconds(2)) {
+      Decisions out;
+      while (!ends.empty() && ends.begin()->first <= now) {
+        const SendEnd end = ends.begin()->second;
+        ends.erase(ends.begin());
+        served += now <= calls.at(end.token).on_time_until ? 1 : 0;
+        balancer.Finish(calls.at(end.token), end, now, out);
+      }
+      if (token <= kCalls && now >= kStart + milliseconds(100) * token) {
+        CallOffer offer = MakeCall(token, now);
+        offer.on_time_until = now + milliseconds(400);
+        offer.deadline = now + milliseconds(1200);
+        calls[token++] = offer;
+        balancer.Offer(offer, now, out);
+      }
+      balancer.Tick(now, out);
+      while (const auto probe = balancer.NextProbe(now)) {
+        balancer.ProbeFailed(*probe, SendResult::kAnswered, now, out);
+      }
+      for (const Dispatch& it : out.dispatches) {
+        ends.emplace(now + kExecution, SendEnd{.token = it.token,
+                                               .endpoint = it.endpoint,
+                                               .took = kExecution,
+                                               .report = std::nullopt});
+      }
+    }
+    CHECK(served >= kCalls * 99 / 100);
+  }
+}
+
 }  // namespace
 }  // namespace damasktack
