Ignore results of probes whose index was reassigned

Cause: an index of an endpoint that has left is reused while a probe of it is in flight, since only calls keep an index. The result of that probe was applied to the new owner: a misdirected probe or the report of a drain kept the new endpoint out until it was listed again. Only the other signals of a probe were checked.

Change: ServiceDispatcher checks id, address and start of the probed process for reports and failed probes too, with the same function, for both balancers.

--- a/proxy/caller_server.cc
+++ b/proxy/caller_server.cc
@@ -209,10 +209,9 @@
     dispatcher->OnProbeSignals(probe, *result.signals, Clock::now());
   }
   if (result.report) {
-    dispatcher->Report(probe.endpoint, *result.report, Clock::now());
+    dispatcher->Report(probe, *result.report, Clock::now());
   } else {
-    dispatcher->ProbeFailed(probe.endpoint, result.result, began_at,
-                            Clock::now());
+    dispatcher->ProbeFailed(probe, result.result, began_at, Clock::now());
   }
 }
 
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -125,16 +125,19 @@
   return balancer_->RetryAfterSend(offer, end, now);
 }
 
-void ServiceDispatcher::Report(EndpointIndex endpoint,
+void ServiceDispatcher::Report(const ProbeRequest& probe,
                                const EndpointReport& report,
                                TimePoint now) {
   Notices notices;
   {
     const std::lock_guard lock(mutex_);
-    RecordReach(endpoint, SendResult::kAnswered, now, now);
-    RecordDrain(endpoint, report);
+    if (!IsCurrent(probe)) {
+      return;
+    }
+    RecordReach(probe.endpoint, SendResult::kAnswered, now, now);
+    RecordDrain(probe.endpoint, report);
     Decisions decisions;
-    balancer_->Report(endpoint, report, now, decisions);
+    balancer_->Report(probe.endpoint, report, now, decisions);
     notices = EndEvent(decisions, now);
   }
   Notify(notices);
@@ -146,9 +149,7 @@
   std::optional<StatedRate> stated;
   {
     const std::lock_guard lock(mutex_);
-    const EndpointSpec& spec = balancer_->endpoint(probe.endpoint);
-    if (spec.id != probe.target.id ||
-        spec.started_at != probe.target.started_at) {
+    if (!IsCurrent(probe)) {
       return;
     }
     stated = TakeSignals(probe.endpoint, now, [&] {
@@ -184,16 +185,19 @@
   balancer_->OnPeerRateLimit(stated.endpoint, stated.rate_limit, stated.at);
 }
 
-void ServiceDispatcher::ProbeFailed(EndpointIndex endpoint,
+void ServiceDispatcher::ProbeFailed(const ProbeRequest& probe,
                                     SendResult result,
                                     TimePoint began_at,
                                     TimePoint now) {
   Notices notices;
   {
     const std::lock_guard lock(mutex_);
-    RecordReach(endpoint, result, began_at, now);
+    if (!IsCurrent(probe)) {
+      return;
+    }
+    RecordReach(probe.endpoint, result, began_at, now);
     Decisions decisions;
-    balancer_->ProbeFailed(endpoint, result, now, decisions);
+    balancer_->ProbeFailed(probe.endpoint, result, now, decisions);
     notices = EndEvent(decisions, now);
   }
   Notify(notices);
@@ -276,6 +280,12 @@
                         spec.id, health_path_, spec.started_at};
 }
 
+bool ServiceDispatcher::IsCurrent(const ProbeRequest& probe) const {
+  const EndpointSpec& spec = balancer_->endpoint(probe.endpoint);
+  return spec.id == probe.target.id && spec.address == probe.target.address &&
+         spec.started_at == probe.target.started_at;
+}
+
 std::vector<ServiceDispatcher::Placed> ServiceDispatcher::Resolve(
     const Decisions& decisions) {
   LogChanges();
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -101,18 +101,18 @@
   Duration RetryAfterSend(const CallOffer& offer,
                           const SendEnd& end,
                           TimePoint now);
-  // Processes the load report in the answer to a probe.
-  void Report(EndpointIndex endpoint,
+  // Process the result of a probe: the load report in its answer, the other
+  // signals in its answer, or a probe, begun at `began_at`, that returned no
+  // report. They are ignored if the index belongs to another process by now: a
+  // shutdown signal or a misdirected probe would otherwise remove that process
+  // until it is listed again, and a report would describe it wrongly.
+  void Report(const ProbeRequest& probe,
               const EndpointReport& report,
               TimePoint now);
-  // Processes the other signals in the answer to a probe. They are ignored if
-  // the index belongs to another process by now, because a shutdown signal
-  // would otherwise remove that process permanently.
   void OnProbeSignals(const ProbeRequest& probe,
                       const EndpointSignals& signals,
                       TimePoint now);
-  // Handles a probe, begun at `began_at`, that returned no report.
-  void ProbeFailed(EndpointIndex endpoint,
+  void ProbeFailed(const ProbeRequest& probe,
                    SendResult result,
                    TimePoint began_at,
                    TimePoint now);
@@ -190,6 +190,8 @@
   // Must be called without the lock, because `rates_` has its own lock.
   void PublishRateLimit(const std::optional<StatedRate>& stated);
   EndpointTarget TargetOf(EndpointIndex endpoint) const;
+  // Returns whether the probe's index still belongs to the probed process.
+  bool IsCurrent(const ProbeRequest& probe) const;
 
   const ConnectionShare share_;
   EndpointRates& rates_;
