A stopping host accepts no request that it may not finish

Cause: the connection of a caller that pipelines stayed open as long as one more request was pending. The daemon ends what is left after 11/12 of the grace time, so it cut off a request that an endpoint was running. Connections without progress (a partial request, an answer that is not read, a relaying peer) lasted until then too.

Change: proxy/stop_schedule decides from the time at which calls are aborted. A request is served only if its deadline leaves 150 ms to write its answer and to close connections; others get 503 "stopping" with not-run. An answer closes the connection when a further request of the connection's slowest route, begun after the requests before it, could not be finished; requests that have been read are answered first, later ones are not read. Silent connections, partial requests and unread answers end at the latest 100 ms before calls are aborted. The daemon for documents uses the grace time as well, as its setting says.

--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <thread>
 #include <utility>
 
@@ -168,9 +169,11 @@
   spdlog::info("event=stopping host={}", settings_.host.text());
   stopping_ = true;
   fleet_.Leave();
-  std::this_thread::sleep_for(settings_.stop.lag);
+  const TimePoint began = Clock::now();
+  const TimePoint last = began + MaxStopTime(settings_.stop);
+  callers_.AnnounceStop(last);
+  std::this_thread::sleep_until(std::min(began + settings_.stop.lag, last));
   callers_.BeginStopping();
-  const TimePoint last = Clock::now() + settings_.stop.longest;
   TimePoint idle_since = Clock::now();
   while (Clock::now() < last &&
          Clock::now() - idle_since < kIdleTimeBeforeStop) {
--- a/main/settings.cc
+++ b/main/settings.cc
@@ -93,6 +93,18 @@
 
 }  // namespace
 
+// A fixed time would abort calls that endpoints still process although the
+// platform waits longer; a twelfth of the platform's grace period is reserved
+// for ending the process on a busy host.
+Duration MaxStopTime(const StopOptions& stop) {
+  if (stop.grace_seconds <= 0) {
+    return stop.lag + stop.longest;
+  }
+  constexpr double kUsableFraction = 11.0 / 12;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(stop.grace_seconds * kUsableFraction));
+}
+
 leaf::result<Settings> ParseSettings(std::string_view text,
                                      std::string_view where) {
   BOOST_LEAF_AUTO(json, ParseWithoutQuotes(text, where));
--- a/main/settings.h
+++ b/main/settings.h
@@ -66,6 +66,9 @@
   double grace_seconds = 0;
 };
 
+// Returns the time from the order to stop until calls are aborted.
+Duration MaxStopTime(const StopOptions& stop);
+
 // All settings of one daemon.
 struct Settings {
   HostId host;
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -55,18 +55,6 @@
   return options;
 }
 
-// Returns the maximum duration of a stop. A fixed time would abort calls that
-// endpoints still process although the platform waits longer; a twelfth of the
-// platform's grace period is reserved for ending the process on a busy host.
-Duration MaxStopTime(const StopOptions& stop) {
-  if (stop.grace_seconds <= 0) {
-    return stop.lag + stop.longest;
-  }
-  constexpr double kUsableFraction = 11.0 / 12;
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(stop.grace_seconds * kUsableFraction));
-}
-
 void WriteCounter(std::ostream& out,
                   std::string_view name,
                   std::uint64_t value) {
@@ -250,8 +238,10 @@
   // From now on connections are closed after their response, so that callers
   // move to other hosts before the platform's balancer has noticed the stop.
   state_.SetStopping();
-  const TimePoint last = Clock::now() + MaxStopTime(settings_.stop);
-  std::this_thread::sleep_for(settings_.stop.lag);
+  const TimePoint began = Clock::now();
+  const TimePoint last = began + MaxStopTime(settings_.stop);
+  callers_.AnnounceStop(last);
+  std::this_thread::sleep_until(std::min(began + settings_.stop.lag, last));
   callers_.BeginStopping();
   std::this_thread::sleep_for(kIdleCloseTime);
   // A call accepted later could not be finished: it would be aborted when the
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds kMinTimeToSend(1);
 // A host that has just started or resumed is normally ready within this time.
 constexpr std::chrono::milliseconds kNotCurrentRetryAfter(150);
+// A caller that is refused by a stopping host is expected to reach another one.
+constexpr std::chrono::milliseconds kStoppingRetryAfter(10);
 // How often a call that waits for a starting host checks again.
 constexpr std::chrono::milliseconds kCurrentPollInterval(5);
 // Such a wait may take at most this fraction (1/n) of the caller's timeout, so
@@ -89,6 +91,12 @@
   static CallResult NotRun(Failure failure) {
     return {Outcome::kNotRun, std::nullopt, std::move(failure)};
   }
+  // Another host can take the call at once.
+  static CallResult Stopping() {
+    Failure failure = MakeFailure(FailureKind::kStopping);
+    failure.retry_after = kStoppingRetryAfter;
+    return NotRun(std::move(failure));
+  }
   static CallResult Complete(HttpResponse answer) {
     return {Outcome::kComplete, std::move(answer), {}};
   }
@@ -235,6 +243,10 @@
   }
   contract_ = &route->contract;
   FillOffer(*route, request, names(), offer_);
+  time_limit_ = route->timeout;
+  if (!CanFinish()) {
+    co_return CallResult::Stopping();
+  }
   if (offer_.attempt_limit > 0) {
     offer_.attempt_limit = std::max(offer_.attempt_limit - earlier_sends_, 1);
   }
@@ -266,6 +278,10 @@
     co_return CallResult::NotRun(MakeFailure(FailureKind::kNotInContract));
   }
   FillOffer(*contract_, *request_class, request, names(), offer_);
+  time_limit_ = request_class->deadline;
+  if (!CanFinish()) {
+    co_return CallResult::Stopping();
+  }
   attempt_ = PreviousAttempts(request, names());
   if (ReadNumber(request, names().depth).value_or(0) >= kMaxCallDepth) {
     co_return CallResult::NotRun(MakeFailure(FailureKind::kTooDeep));
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -31,6 +31,11 @@
   // cancels the send in progress. Must be called on the handler's thread.
   void OnCallerGone();
 
+  // The call's deadline and the longest time that its route or contract allows;
+  // both are zero until the request has been matched.
+  TimePoint deadline() const { return offer_.deadline; }
+  Duration time_limit() const { return time_limit_; }
+
  private:
   struct CallResult;
   struct ClaimOutcome;
@@ -55,6 +60,10 @@
   asio::awaitable<void> Sleep(TimePoint until);
   ServiceDispatcher::OnPlaced MakeOnPlaced();
   bool HasTimeToSend() const;
+  // Whether the call can be finished before a stopping host aborts calls.
+  bool CanFinish() const {
+    return state_.stop_schedule().CanFinish(offer_.deadline);
+  }
   // Returns the reason why the request must not be sent now, or null if it may
   // be sent.
   std::optional<FailureKind> FindSendObstacle(const HttpRequest& request);
@@ -90,6 +99,7 @@
   std::shared_ptr<EndpointExchange> exchange_;
   CallRelay relay_;
   Duration at_endpoints_{};
+  Duration time_limit_{};
   int sends_ = 0;
   // Sends to endpoints by the peer that relays the call.
   int earlier_sends_ = 0;
--- a/proxy/caller_server.cc
+++ b/proxy/caller_server.cc
@@ -216,17 +216,26 @@
   }
 }
 
-void CallerServer::BeginStopping() {
-  state_.SetStopping();
+void CallerServer::ForEachSession(void (CallerSession::*notify)()) {
   for (const auto& it : loops_) {
-    it->poster()->Post([&loop = *it] {
+    it->poster()->Post([&loop = *it, notify] {
       for (CallerSession* session : loop.sessions()) {
-        session->OnStopping();
+        (session->*notify)();
       }
     });
   }
 }
 
+void CallerServer::AnnounceStop(TimePoint end) {
+  state_.SetStopEnd(end);
+  ForEachSession(&CallerSession::OnStopAnnounced);
+}
+
+void CallerServer::BeginStopping() {
+  state_.SetStopping();
+  ForEachSession(&CallerSession::OnStopping);
+}
+
 void CallerServer::StopAccepting() {
   loops_.front()->poster()->Post([this] {
     boost::system::error_code ec;
--- a/proxy/caller_server.h
+++ b/proxy/caller_server.h
@@ -11,6 +11,8 @@
 
 namespace damasktack {
 
+class CallerSession;
+
 // Accepts callers' connections and runs the I/O threads. Each thread has its
 // own event loop and its own pool of endpoint connections, so that a call stays
 // on one thread from start to end.
@@ -21,6 +23,10 @@
 
   // Binds the listening socket and serves on the I/O threads until Stop.
   leaf::result<void> Start();
+  // Announces that Stop will be called at `end`: from now on no request is
+  // accepted that could not be finished by then, and every connection is closed
+  // shortly before.
+  void AnnounceStop(TimePoint end);
   // Begins a graceful shutdown: requests that have arrived are served, their
   // answers close the connections, and idle connections are closed. Complete
   // when connections() is 0.
@@ -38,6 +44,8 @@
  private:
   asio::awaitable<void> Accept(Tcp::acceptor& acceptor, CallOrigin origin);
   void Admit(Tcp::socket socket, ProxyLoop& loop, CallOrigin origin);
+  // Calls `notify` for each open connection, on the connection's thread.
+  void ForEachSession(void (CallerSession::*notify)());
   asio::awaitable<void> TickLoop();
   // Called when calls have begun to wait: sends the probes that they need and
   // switches to the short tick interval.
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -15,9 +15,6 @@
 constexpr std::size_t kReadChunk = 4096;
 // An idle connection releases a buffer that grew beyond this size.
 constexpr std::size_t kMaxIdleBufferBytes = 16U << 10U;
-// Idle timeout while stopping: long compared with the network delay of a
-// request that has been sent, short compared with a shutdown.
-constexpr Duration kIdleWhileStopping = std::chrono::milliseconds(500);
 // Longer than peers keep idle connections, so that they close them first.
 constexpr Duration kPeerIdleTimeout = std::chrono::minutes(15);
 constexpr Duration kMaxLinger = std::chrono::seconds(1);
@@ -114,6 +111,16 @@
   });
 }
 
+void CallerSession::ArmWriteTimer(Duration timeout) {
+  write_timer_.expires_after(timeout);
+  write_timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code ec) {
+        if (!ec && self->write_timer_.expiry() <= Clock::now()) {
+          self->socket_.cancel(ec);
+        }
+      });
+}
+
 void CallerSession::DisarmTimer() {
   timer_.expires_at(TimePoint::max());
 }
@@ -133,16 +140,49 @@
                          ? kPeerIdleTimeout
                          : state_.caller_limits().idle_timeout;
   if (state_.stopping()) {
-    timeout = std::min(timeout, kIdleWhileStopping);
+    timeout = std::min(timeout, StopSchedule::kMinSilence);
   }
   is_idle_ = true;
-  ArmTimer(timeout);
+  ArmTimer(std::min(timeout, state_.stop_schedule().ReadTimeout(
+                                 DescribeForStop(), Clock::now())));
+}
+
+void CallerSession::OnStopAnnounced() {
+  const StopSchedule schedule = state_.stop_schedule();
+  const TimePoint now = Clock::now();
+  const Duration to_read = schedule.ReadTimeout(DescribeForStop(), now);
+  const bool receives = is_reading_ && !has_read_;
+  if ((is_idle_ || receives) && timer_.expiry() > now + to_read) {
+    ArmTimer(to_read);
+  }
+  const Duration to_write = schedule.TimeToClose(now);
+  if (is_writing_ && write_timer_.expiry() > now + to_write) {
+    ArmWriteTimer(to_write);
+  }
 }
 
 void CallerSession::OnStopping() {
   if (is_idle_) {
-    ArmTimer(std::min(kIdleWhileStopping, state_.caller_limits().idle_timeout));
+    ArmTimer(std::min(StopSchedule::kMinSilence,
+                      state_.caller_limits().idle_timeout));
+  }
+}
+
+StopSchedule::Connection CallerSession::DescribeForStop() const {
+  StopSchedule::Connection connection{longest_call_, TimePoint::min()};
+  for (const PendingRequestPtr& it : pending_) {
+    if (it->handler) {
+      connection.longest_call =
+          std::max(connection.longest_call, it->handler->time_limit());
+      connection.begins_by =
+          std::max(connection.begins_by, it->handler->deadline());
+    }
   }
+  return connection;
+}
+
+bool CallerSession::MayReadMore() const {
+  return state_.stop_schedule().MayRead(DescribeForStop(), Clock::now());
 }
 
 bool CallerSession::HasMoreRequests() {
@@ -150,7 +190,17 @@
   return buf_.size() > 0 || socket_.available(ec) > 0;
 }
 
+asio::awaitable<void> CallerSession::AwaitTimeToRead() {
+  while (!lost_ && !is_closing_ && !pending_.empty() && !MayReadMore()) {
+    co_await AwaitPendingBelow(pending_.size());
+  }
+}
+
 asio::awaitable<bool> CallerSession::AwaitRequest() {
+  co_await AwaitTimeToRead();
+  if (lost_ || is_closing_) {
+    co_return false;
+  }
   if (buf_.size() > 0) {
     co_return true;
   }
@@ -205,7 +255,7 @@
         asio::redirect_error(asio::use_awaitable, ec));
     buf_.commit(n);
     if (ec) {
-      lost_ = !timed_out_;
+      lost_ = lost_ || (!timed_out_ && !is_closing_);
       co_return MakeFailure(FailureKind::kRequestTimeout);
     }
   }
@@ -241,6 +291,9 @@
                      parser.get().version() == 11 && buf_.size() == 0;
   if (waits) {
     co_await AwaitPendingBelow(1);
+    if (lost_ || is_closing_) {
+      co_return MakeFailure(FailureKind::kRequestTimeout);
+    }
     co_await asio::async_write(socket_, asio::buffer(kContinue),
                                asio::redirect_error(asio::use_awaitable, ec));
   }
@@ -254,9 +307,10 @@
     co_return MakeFailure(FailureKind::kBodyTooLarge);
   }
   // Parser errors are caused by the caller; any other error means that the
-  // connection has ended.
-  lost_ = ec && (ec == http::error::partial_message ||
-                 ec.category() == boost::system::system_category());
+  // connection has ended, unless an answer that closes it has ended the read.
+  lost_ = lost_ || (ec && !is_closing_ &&
+                    (ec == http::error::partial_message ||
+                     ec.category() == boost::system::system_category()));
   if (ec) {
     co_return MakeFailure(FailureKind::kBadRequest, ec.message());
   }
@@ -275,7 +329,9 @@
                       static_cast<std::uint32_t>(kEndOfHead.size()));
   parser.body_limit(static_cast<std::uint64_t>(caller_limits.body_bytes));
   parser.eager(true);
-  ArmTimer(caller_limits.header_timeout);
+  ArmTimer(std::min(
+      caller_limits.header_timeout,
+      state_.stop_schedule().ReadTimeout(DescribeForStop(), Clock::now())));
   std::optional<Failure> failure = co_await ReadHead(parser);
   if (!failure) {
     failure = co_await ReadBody(parser);
@@ -299,6 +355,7 @@
     Refuse(std::move(*failure));
     co_return false;
   }
+  has_read_ = true;
   co_return co_await Begin(parser.release());
 }
 
@@ -327,6 +384,7 @@
   }
   entry->handler = std::make_shared<CallHandler>(state_, loop_, origin_);
   is_reading_ = false;
+  has_read_ = false;
   pending_.push_back(entry);
   asio::co_spawn(socket_.get_executor(), Answer(entry, std::move(request)),
                  asio::detached);
@@ -337,15 +395,22 @@
                                             HttpRequest request) {
   const auto self = shared_from_this();
   entry->response = co_await entry->handler->Handle(std::move(request));
+  longest_call_ = std::max(longest_call_, entry->handler->time_limit());
   entry->handler.reset();
   co_await WriteReadyAnswers();
 }
 
-// Requests that have already arrived are answered before the connection is
-// closed.
+// Requests that have been read are answered before the connection is closed;
+// those that have only arrived are too, if they can be finished.
 bool CallerSession::StaysOpenAfter(const PendingRequest& entry) {
-  return entry.wants_more && (!state_.stopping() || pending_.size() > 1 ||
-                              is_reading_ || HasMoreRequests());
+  if (!entry.wants_more) {
+    return false;
+  }
+  if (pending_.size() > 1 || has_read_) {
+    return true;
+  }
+  return MayReadMore() &&
+         (!state_.stopping() || is_reading_ || HasMoreRequests());
 }
 
 asio::awaitable<void> CallerSession::WriteReadyAnswers() {
@@ -372,7 +437,8 @@
 
 void CallerSession::EndWriting() {
   changed_.cancel();
-  if ((lost_ || is_closing_) && awaits_request_) {
+  const bool receives = awaits_request_ || (is_reading_ && !has_read_);
+  if ((lost_ || is_closing_) && receives) {
     boost::system::error_code ec;
     socket_.cancel(ec);
     return;
@@ -388,13 +454,8 @@
   response.keep_alive(keep_alive);
   SetLength(response, head_only);
   boost::system::error_code ec;
-  write_timer_.expires_after(state_.caller_limits().header_timeout);
-  write_timer_.async_wait(
-      [self = shared_from_this()](boost::system::error_code timer_ec) {
-        if (!timer_ec && self->write_timer_.expiry() <= Clock::now()) {
-          self->socket_.cancel(timer_ec);
-        }
-      });
+  ArmWriteTimer(std::min(state_.caller_limits().header_timeout,
+                         state_.stop_schedule().TimeToClose(Clock::now())));
   http::response_serializer<http::string_body> serializer(response);
   if (head_only) {
     serializer.split(true);
@@ -430,7 +491,8 @@
   // Closing a socket with unread bytes makes the kernel send a reset, which can
   // discard the answer in the caller's receive buffer.
   std::array<char, kReadChunk> rest{};
-  ArmTimer(kMaxLinger);
+  ArmTimer(
+      std::min(kMaxLinger, state_.stop_schedule().TimeToClose(Clock::now())));
   while (!ec && !lost_ && !timed_out_) {
     co_await socket_.async_read_some(
         asio::buffer(rest), asio::redirect_error(asio::use_awaitable, ec));
--- a/proxy/caller_session.h
+++ b/proxy/caller_session.h
@@ -8,6 +8,7 @@
 
 #include "proxy/call_handler.h"
 #include "proxy/failure.h"
+#include "proxy/stop_schedule.h"
 
 namespace damasktack {
 
@@ -25,6 +26,9 @@
   asio::awaitable<void> Run();
   // Answers a connection over the connection limit with 503 and closes it.
   asio::awaitable<void> RunRefusal();
+  // Called when the time is known at which the daemon aborts calls: limits the
+  // time to read and to write accordingly.
+  void OnStopAnnounced();
   // Called when the daemon is stopping: shortens the idle timeout.
   void OnStopping();
 
@@ -47,6 +51,9 @@
   // be closed.
   asio::awaitable<bool> ServeOne();
   asio::awaitable<bool> AwaitRequest();
+  // Waits for earlier requests as long as a further one could not be finished
+  // before the daemon aborts calls.
+  asio::awaitable<void> AwaitTimeToRead();
   asio::awaitable<std::optional<Failure>> ReadRequest(Parser& parser);
   asio::awaitable<std::optional<Failure>> ReadHead(Parser& parser);
   asio::awaitable<std::optional<Failure>> ReadBody(Parser& parser);
@@ -66,6 +73,7 @@
   asio::awaitable<void> Linger();
 
   void ArmTimer(Duration timeout);
+  void ArmWriteTimer(Duration timeout);
   void DisarmTimer();
   void BeginIdle();
   void EndWriting();
@@ -74,6 +82,10 @@
   void OnConnectionLost();
   bool HasMoreRequests();
   bool StaysOpenAfter(const PendingRequest& entry);
+  // Whether one more request may be read; always true unless the daemon is
+  // about to abort calls.
+  bool MayReadMore() const;
+  StopSchedule::Connection DescribeForStop() const;
 
   Tcp::socket socket_;
   ProxyState& state_;
@@ -90,6 +102,10 @@
   bool awaits_request_ = false;
   // A request has begun to arrive but is not in `pending_` yet.
   bool is_reading_ = false;
+  // This request is complete and waits for earlier ones.
+  bool has_read_ = false;
+  // The longest time limit of the calls so far.
+  Duration longest_call_{};
   bool is_idle_ = false;
   bool timed_out_ = false;
   bool is_writing_ = false;
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -25,6 +25,7 @@
 #include "proxy/relay_peer_picker.h"
 #include "proxy/routing_table.h"
 #include "proxy/service_dispatcher.h"
+#include "proxy/stop_schedule.h"
 
 namespace damasktack {
 
@@ -127,6 +128,9 @@
   // accepted.
   void SetStopping() { stopping_ = true; }
   bool stopping() const { return stopping_; }
+  // Sets the time at which a stopping host aborts all calls.
+  void SetStopEnd(TimePoint end) { stop_end_ = end; }
+  StopSchedule stop_schedule() const { return StopSchedule(stop_end_); }
   std::atomic<std::int64_t>& calls_in_flight() {
     return counters_.calls_in_flight();
   }
@@ -161,6 +165,7 @@
   std::function<void()> on_waiting_;
   std::atomic<CallToken> last_token_ = 0;
   std::atomic<bool> stopping_ = false;
+  std::atomic<TimePoint> stop_end_ = TimePoint::max();
 };
 
 }  // namespace damasktack
