A request that cannot be serialized is answered

Cause: Beast's prepare_payload throws for TRACE with a body. The coroutine CallerSession::Answer is detached, so the exception was dropped, the request never got an answer, and its connection was counted until the process ended.

Change: request_check refuses TRACE with a body (RFC 9110, 9.3.8) with 400 and not-run. Independently, a call that ends with an exception is answered with 500 "internal" and the outcome unknown, because it may have been sent; the log line call-internal-error names the exception.

--- a/proxy/call_log.cc
+++ b/proxy/call_log.cc
@@ -86,6 +86,13 @@
   }
 }
 
+void CallLog::WriteInternalError(std::string_view what, TimePoint now) {
+  if (const std::optional<std::uint64_t> left_out = TakeLine(now)) {
+    spdlog::error("event=call-internal-error what=\"{}\" left_out={}", what,
+                  *left_out);
+  }
+}
+
 std::uint64_t CallLog::dropped() const {
   const std::lock_guard lock(mutex_);
   return dropped_;
--- a/proxy/call_log.h
+++ b/proxy/call_log.h
@@ -75,6 +75,8 @@
   void WriteRelayTaken(const CallId& call,
                        std::string_view from,
                        TimePoint now);
+  // Logs that a call ended with an exception.
+  void WriteInternalError(std::string_view what, TimePoint now);
   std::uint64_t dropped() const;
 
  private:
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <utility>
 
 #include "proxy/request_check.h"
@@ -394,7 +395,17 @@
 asio::awaitable<void> CallerSession::Answer(PendingRequestPtr entry,
                                             HttpRequest request) {
   const auto self = shared_from_this();
-  entry->response = co_await entry->handler->Handle(std::move(request));
+  try {
+    entry->response = co_await entry->handler->Handle(std::move(request));
+  } catch (const std::exception& error) {
+    // Without an answer, the entry would stay pending and the connection open
+    // forever. The call may have been sent before the exception.
+    state_.counters().CountFailure(FailureKind::kInternal);
+    state_.call_log().WriteInternalError(error.what(), Clock::now());
+    entry->response =
+        RenderFailure(MakeFailure(FailureKind::kInternal), Outcome::kUnknown,
+                      {}, state_.options().names);
+  }
   longest_call_ = std::max(longest_call_, entry->handler->time_limit());
   entry->handler.reset();
   co_await WriteReadyAnswers();
--- a/proxy/failure.cc
+++ b/proxy/failure.cc
@@ -108,6 +108,9 @@
      "relay the call to another host; check that all hosts have the same fleet "
      "key",
      seconds(1)},
+    {FailureKind::kInternal, "internal", http::status::internal_server_error,
+     "the request may have run; ask the service before repeating it",
+     seconds(0)},
 }};
 
 constexpr bool RowsAreInOrder() {
--- a/proxy/failure.h
+++ b/proxy/failure.h
@@ -48,8 +48,9 @@
   kCancelled,
   kUnreachable,
   kRelayRefused,
+  kInternal,
 };
-inline constexpr std::size_t kFailureKindCount = 31;
+inline constexpr std::size_t kFailureKindCount = 32;
 
 // Returns the name used in answers and metrics.
 std::string_view ToString(FailureKind kind);
--- a/proxy/request_check.cc
+++ b/proxy/request_check.cc
@@ -188,6 +188,9 @@
   bool Has(HeaderId id) const { return seen_[static_cast<std::size_t>(id)]; }
 
   bool is_1_0_ = false;
+  bool is_trace_ = false;
+  // The value of Content-Length has a digit other than 0.
+  bool has_length_ = false;
   std::size_t lines_ = 0;
   std::array<bool, kCheckedHeaders.size()> seen_{};
 };
@@ -203,6 +206,7 @@
   if (!IsToken(line.substr(0, first))) {
     return MakeBadRequest("a method that is no token");
   }
+  is_trace_ = line.substr(0, first) == "TRACE";
   if (auto fault = CheckTarget(line.substr(first + 1, second - first - 1))) {
     return fault;
   }
@@ -279,6 +283,9 @@
                           " twice");
   }
   seen = true;
+  if (id == HeaderId::kContentLength) {
+    has_length_ = value.find_first_not_of('0') != std::string_view::npos;
+  }
   return CheckValue(id, value);
 }
 
@@ -292,6 +299,10 @@
   if (Has(HeaderId::kTransferEncoding) && is_1_0_) {
     return MakeBadRequest("Transfer-Encoding in HTTP/1.0");
   }
+  // Forbidden by RFC 9110, 9.3.8; Beast does not serialize such a request.
+  if (is_trace_ && (has_length_ || Has(HeaderId::kTransferEncoding))) {
+    return MakeBadRequest("a body in TRACE");
+  }
   return std::nullopt;
 }
 
--- a/tests/proxy/test_caller_session.cc
+++ b/tests/proxy/test_caller_session.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -207,5 +208,31 @@
   }
 }
 
+// A gate whose check throws, as a fault inside the handling of a call would.
+class ThrowingLimitGate : public OpenLimitGate {
+ public:
+  Verdict Enter(const Contract& /*contract*/, TimePoint /*now*/) override {
+    throw std::runtime_error("fault");
+  }
+};
+
+// Guards against a connection that is counted forever because the answer to its
+// request never comes after an exception.
+TEST_CASE("a call that ends with an exception is answered with 500") {
+  ThrowingLimitGate gate;
+  ProxyFixture proxy({.endpoint_ports = {ClosedPort()}, .limits = &gate});
+  RawConnection caller = proxy.Connect();
+  caller.Send(PostRequest("cut"));
+  const std::string answer = caller.ReadMessage();
+  CHECK(StatusOf(answer) == 500);
+  CHECK(HeaderOf(answer, "Damasktack-Outcome") == "unknown");
+  CHECK(proxy.state().calls_in_flight() == 0);
+  caller.Close();
+  for (int n = 0; n < 5000 && proxy.server().connections() > 0; ++n) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  CHECK(proxy.server().connections() == 0);
+}
+
 }  // namespace
 }  // namespace damasktack
--- a/tests/proxy/test_request_check.cc
+++ b/tests/proxy/test_request_check.cc
@@ -31,6 +31,11 @@
          std::string(headers) + "\r\n";
 }
 
+std::string Trace(std::string_view headers, std::string_view body) {
+  return "TRACE /dispatch/cut HTTP/1.1\r\nHost: h\r\nDamasktack-Key: key\r\n" +
+         std::string(headers) + "\r\n" + std::string(body);
+}
+
 std::string Repeat(std::string_view line, int times) {
   std::string all;
   for (int n = 0; n < times; ++n) {
@@ -72,6 +77,8 @@
       {"a chunk size that is no number",
        Post("Transfer-Encoding: chunked\r\n", "zz\r\nhello\r\n0\r\n\r\n")},
       {"a body over the limit", Post("Content-Length: 9000000\r\n"), 413},
+      {"a body in TRACE", Trace("Content-Length: 5\r\n", "hello")},
+      {"chunks in TRACE", Trace("Transfer-Encoding: chunked\r\n", chunks)},
   };
 }
 
