Move the sends of a call from CallHandler to CallSends

Change: CallSends waits for placements, sends, retries and relays; CallHandler admits the call and renders the answer. CallResult has its own header. No change of behaviour.

--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -20,7 +20,6 @@
 namespace {
 
 constexpr std::int64_t kMaxCallDepth = 32;
-constexpr std::chrono::milliseconds kMinTimeToSend(1);
 // A host that has just started or resumed is normally ready within this time.
 constexpr std::chrono::milliseconds kNotCurrentRetryAfter(150);
 // How often a call that waits for a starting host checks again.
@@ -52,25 +51,6 @@
   return target.substr(0, target.find('?'));
 }
 
-// Whether another damasktack, nearer to the failure, has already handled this
-// call and answered it.
-bool WasHandledByAnotherHop(const ExchangeResult& sent,
-                            const ProtocolNames& names) {
-  return sent.answer && sent.answer->count(names.outcome) > 0;
-}
-
-// Returns the result that counts for the call's outcome: a send that ended
-// before its first byte had no effect, even if the caller or the deadline ended
-// it.
-SendResult EffectiveResult(const ExchangeResult& sent) {
-  return sent.wrote ? sent.result : SendResult::kNotConnected;
-}
-
-FailureKind FailureKindOf(const ExchangeResult& sent) {
-  const bool is_late = !sent.wrote && sent.result == SendResult::kTimedOut;
-  return is_late ? FailureKind::kDeadline : KindOf(EffectiveResult(sent));
-}
-
 // Returns the path that the contract's rules are matched against. Always starts
 // with '/', also if the path is the service's prefix itself.
 std::string PathAfterPrefix(std::string_view prefix, std::string_view path) {
@@ -80,20 +60,6 @@
 
 }  // namespace
 
-struct CallHandler::CallResult {
-  Outcome outcome = Outcome::kNotRun;
-  std::optional<HttpResponse> answer;
-  // Only used without an answer.
-  Failure failure;
-
-  static CallResult NotRun(Failure failure) {
-    return {Outcome::kNotRun, std::nullopt, std::move(failure)};
-  }
-  static CallResult Complete(HttpResponse answer) {
-    return {Outcome::kComplete, std::move(answer), {}};
-  }
-};
-
 struct CallHandler::ClaimOutcome {
   ClaimReply reply;
   // Null unless the claim was granted.
@@ -105,20 +71,13 @@
       loop_(loop),
       origin_(origin),
       wake_(loop.context()),
-      quarantine_check_(state.quarantine(), loop.context()),
-      call_id_(names().callers_assign_call_ids ? std::string() : MakeCallId()),
-      relay_(state, loop) {}
+      call_id_(names().callers_assign_call_ids ? std::string() : MakeCallId()) {
+}
 
 void CallHandler::OnCallerGone() {
   caller_gone_ = true;
-  relay_.Cancel();
-  if (exchange_) {
-    exchange_->Cancel();
-    return;
-  }
-  if (dispatcher_ && dispatcher_->Withdraw(offer_.token, Clock::now())) {
-    placement_ = Placement{Refusal::kDeadline, 0, {}, {}};
-    wake_.cancel();
+  if (sends_) {
+    sends_->OnCallerGone();
   }
 }
 
@@ -128,36 +87,6 @@
   co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
-// The balancer may outlive the loop, so the callback must not own sockets or
-// timers.
-ServiceDispatcher::OnPlaced CallHandler::MakeOnPlaced() {
-  return [weak = weak_from_this(),
-          poster = loop_.poster()](const Placement& placement) {
-    poster->Post([weak, placement] {
-      if (const auto self = weak.lock()) {
-        self->placement_ = placement;
-        self->wake_.cancel();
-      }
-    });
-  };
-}
-
-asio::awaitable<Placement> CallHandler::AwaitPlacement() {
-  while (!placement_) {
-    const bool late = Clock::now() >= offer_.deadline;
-    if (late && dispatcher_->Withdraw(offer_.token, Clock::now())) {
-      co_return Placement{Refusal::kDeadline, 0, {}, {}};
-    }
-    // If the withdrawal comes too late, the placement is about to arrive.
-    const TimePoint until = late ? TimePoint::max() : offer_.deadline;
-    co_await Sleep(until);
-  }
-  Placement placement = std::move(*placement_);
-  placement_.reset();
-  basis_ = placement.basis;
-  co_return placement;
-}
-
 // Returns false if this host does not learn in time which documents are in
 // force. Calls wait because a caller that is refused by a starting host has
 // used up its retry: after a power loss of a whole fleet with a large route
@@ -176,8 +105,7 @@
   co_return true;
 }
 
-asio::awaitable<CallHandler::CallResult> CallHandler::Admit(
-    HttpRequest& request) {
+asio::awaitable<CallResult> CallHandler::Admit(HttpRequest& request) {
   // A process that was suspended still has its old contracts, and the first
   // thing it does is to serve the calls that arrived meanwhile: a customer
   // whose contract has been removed would be served. The fleet loop reports
@@ -205,8 +133,7 @@
   }
 }
 
-asio::awaitable<CallHandler::CallResult> CallHandler::AdmitRelayed(
-    HttpRequest& request) {
+asio::awaitable<CallResult> CallHandler::AdmitRelayed(HttpRequest& request) {
   const RelayOptions& relay = state_.options().relay;
   if (!ConstantTimeEquals(FromBeast(request[kRelayTokenHeader]), relay.token)) {
     co_return CallResult::NotRun(
@@ -225,8 +152,7 @@
   co_return co_await Admit(request);
 }
 
-asio::awaitable<CallHandler::CallResult> CallHandler::RouteByHost(
-    HttpRequest& request) {
+asio::awaitable<CallResult> CallHandler::RouteByHost(HttpRequest& request) {
   const Route* route =
       routing_->FindRoute(FromBeast(request[http::field::host]),
                           PathOf(FromBeast(request.target())));
@@ -245,11 +171,10 @@
   if (service_ == nullptr || !dispatcher_) {
     co_return CallResult::NotRun(MakeFailure(FailureKind::kNoEndpoint));
   }
-  co_return co_await SendWithRetries(request);
+  co_return co_await Send(request);
 }
 
-asio::awaitable<CallHandler::CallResult> CallHandler::RouteByContract(
-    HttpRequest& request) {
+asio::awaitable<CallResult> CallHandler::RouteByContract(HttpRequest& request) {
   const std::string path = PathForRules(FromBeast(request.target()));
   contract_ = routing_->FindContract(FromBeast(request[ToBeast(kKeyHeader)]));
   if (contract_ == nullptr) {
@@ -311,11 +236,10 @@
   co_return std::move(claim_outcome_);
 }
 
-asio::awaitable<CallHandler::CallResult> CallHandler::SendUnderClaim(
-    HttpRequest& request) {
+asio::awaitable<CallResult> CallHandler::SendUnderClaim(HttpRequest& request) {
   const auto key = FromBeast(request[ToBeast(kIdempotencyKeyHeader)]);
   if (offer_.idempotent || key.empty()) {
-    co_return co_await SendWithRetries(request);
+    co_return co_await Send(request);
   }
   ClaimRequest claim{contract_->customer, std::string(key), DigestOf(request),
                      offer_.deadline};
@@ -340,38 +264,11 @@
     co_return CallResult{Outcome::kUnknown, std::nullopt, std::move(failure)};
   }
   claim_ = end->hold;
-  CallResult result = co_await SendWithRetries(request);
+  CallResult result = co_await Send(request);
   claim_->Settle(result.outcome, ToKeptAnswer(result.answer));
   co_return result;
 }
 
-bool CallHandler::HasTimeToSend() const {
-  return !caller_gone_ && offer_.deadline - Clock::now() >= kMinTimeToSend;
-}
-
-std::optional<FailureKind> CallHandler::FindSendObstacle(
-    const HttpRequest& request) {
-  if (!HasTimeToSend()) {
-    return FailureKind::kDeadline;
-  }
-  if (quarantine_check_.IsQuarantined(CallerOf(request), request)) {
-    return FailureKind::kQuarantined;
-  }
-  return std::nullopt;
-}
-
-bool CallHandler::ReturnPlacement(const Placement& placement) {
-  const SendEnd end{.token = offer_.token,
-                    .endpoint = placement.endpoint,
-                    .result = SendResult::kCancelled,
-                    .took = Duration::zero(),
-                    .report = std::nullopt};
-  const TimePoint now = Clock::now();
-  return dispatcher_->Finish(offer_, end, MakeOnPlaced(), now) ==
-             AfterSend::kDone ||
-         dispatcher_->Withdraw(offer_.token, now);
-}
-
 // With routes, the host name is used, because the customer id of a route can
 // change whenever the routes change.
 std::string_view CallHandler::CallerOf(const HttpRequest& request) const {
@@ -379,165 +276,22 @@
                                 : std::string_view(offer_.customer.text());
 }
 
-asio::awaitable<ExchangeResult> CallHandler::SendOnce(
-    HttpRequest& request,
-    const Placement& placement) {
-  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-      offer_.deadline - Clock::now());
-  ++attempt_;
-  ++sends_;
-  last_endpoint_ = placement.target.id;
-  if (basis_.cold) {
-    state_.counters().CountColdSend();
-    state_.call_log().WriteColdSend(call_id_, last_endpoint_, *basis_.cold,
-                                    Clock::now());
-  }
-  SetNamed(request, names().deadline, std::to_string(remaining.count()));
-  SetNamed(request, names().attempt, std::to_string(attempt_));
-  SetNamed(request, names().expected_endpoint, placement.target.id.text());
-  exchange_ = std::make_shared<EndpointExchange>(
-      loop_.context().get_executor(), loop_.pool(), placement.target,
-      state_.options().exchange, names());
-  if (claim_) {
-    claim_->MarkSent();
-  }
-  if (!offer_.idempotent) {
-    exchange_->RequireRecentConnection();
-  }
-  // A named variable, because g++ 12 destroys the temporaries of a conditional
-  // expression inside co_await twice.
-  std::string expected_call;
-  if (service_->echoes_call) {
-    expected_call = call_id_.text();
-  }
-  ExchangeResult result =
-      co_await exchange_->Run(request, offer_.deadline, expected_call);
-  exchange_.reset();
-  at_endpoints_ += result.took;
-  co_return result;
-}
-
-asio::awaitable<std::optional<CallHandler::CallResult>> CallHandler::Relay(
-    HttpRequest& request,
-    const CallOutcome& before) {
-  // A relayed call is not relayed again, so that it cannot circulate. Calls
-  // under a contract are not relayed: their key is not passed on, and their
-  // limits and claims are held by this host.
-  if (origin_ == CallOrigin::kPeer || !routing_->has_routes() ||
-      !HasTimeToSend()) {
-    co_return std::nullopt;
-  }
-  const CallRelay::Call call{
-      .id = call_id_,
-      .service = service_->id,
-      .deadline = offer_.deadline,
-      .idempotent = offer_.idempotent,
-      .sends = sends_,
-      .allowed_regions = offer_.allowed_regions,
-      .unreachable_for = dispatcher_->UnreachableFor(Clock::now())};
-  CallRelay::Result relayed = co_await relay_.Run(request, call);
-  at_endpoints_ += relayed.took;
-  was_relayed_ = relayed.answer || relayed.outcome != Outcome::kNotRun;
-  if (!was_relayed_) {
-    co_return std::nullopt;
-  }
-  // An earlier send by this host may have run.
-  const bool is_unsure = relayed.outcome == Outcome::kNotRun &&
-                         before.outcome() != Outcome::kNotRun;
-  if (!relayed.answer || is_unsure) {
-    const FailureKind kind =
-        is_unsure ? FailureKind::kBroken : KindOf(relayed.last);
-    co_return CallResult{Outcome::kUnknown, std::nullopt, MakeFailure(kind)};
-  }
-  co_return CallResult{relayed.outcome, std::move(relayed.answer), {}};
-}
-
-asio::awaitable<CallHandler::CallResult> CallHandler::SendWithRetries(
-    HttpRequest& request) {
-  const auto depth = ReadNumber(request, names().depth).value_or(0);
-  PrepareForEndpoint(request, call_id_, depth + 1, names());
-  CallOutcome call(offer_.idempotent);
-  // Failure of the last send that may have run without an answer.
-  std::optional<FailureKind> unknown_failure;
-  const auto give_up = [&](FailureKind kind) {
-    const Outcome outcome = call.outcome();
-    const FailureKind reported =
-        outcome == Outcome::kUnknown ? unknown_failure.value_or(kind) : kind;
-    return CallResult{outcome, std::nullopt, MakeFailure(reported)};
-  };
-  int sends = 0;
-  const auto refuse = [&](FailureKind kind) {
-    CallResult result = give_up(kind);
-    if (result.outcome == Outcome::kNotRun) {
-      result.failure.SetRetryAfter(quarantine_check_.retry_after());
-    }
-    return result;
-  };
-  if (const auto obstacle = FindSendObstacle(request)) {
-    co_return refuse(*obstacle);
-  }
-  dispatcher_->Offer(offer_, MakeOnPlaced(), Clock::now());
-  while (true) {
-    const Placement placement = co_await AwaitPlacement();
-    if (placement.refusal != Refusal::kNone) {
-      call.OnRefused();
-      if (placement.refusal == Refusal::kUnreachable) {
-        std::optional<CallResult> relayed = co_await Relay(request, call);
-        if (relayed) {
-          co_return std::move(*relayed);
-        }
-      }
-      CallResult result = give_up(KindOf(placement.refusal));
-      result.failure.SetRetryAfter(placement.retry_after);
-      co_return result;
-    }
-    if (const auto obstacle = FindSendObstacle(request)) {
-      const bool is_returned = ReturnPlacement(placement);
-      if (is_returned) {
-        call.OnRefused();
-        co_return refuse(*obstacle);
-      }
-      continue;
-    }
-    call.OnPlaced();
-    ExchangeResult sent = co_await SendOnce(request, placement);
-    call.OnSendEnd(EffectiveResult(sent));
-    if (!SurelyNotRun(EffectiveResult(sent))) {
-      unknown_failure = KindOf(sent.result);
-    }
-    const bool is_suspected =
-        quarantine_check_.IsSuspected() && !SurelyNotRun(EffectiveResult(sent));
-    quarantine_check_.OnSendEnd(CallerOf(request), request, placement.target,
-                                sent);
-    const SendEnd end{
-        .token = offer_.token,
-        .endpoint = placement.endpoint,
-        .result = sent.result,
-        .took = sent.took,
-        .report = sent.report,
-        .signals = sent.signals,
-        .retried_downstream = WasHandledByAnotherHop(sent, names()),
-        .is_suspected = is_suspected,
-        .sends = ++sends};
-    const AfterSend after =
-        dispatcher_->Finish(offer_, end, MakeOnPlaced(), Clock::now());
-    if (after == AfterSend::kRetry) {
-      call.OnSentAgain();
-      continue;
-    }
-    call.OnGivenUp();
-    const bool is_complete = sent.result == SendResult::kAnswered ||
-                             sent.result == SendResult::kFailed;
-    if (is_complete) {
-      co_return CallResult{call.outcome(), std::move(sent.answer), {}};
-    }
-    CallResult result = give_up(FailureKindOf(sent));
-    if (result.outcome == Outcome::kNotRun) {
-      result.failure.SetRetryAfter(
-          dispatcher_->RetryAfterSend(offer_, end, Clock::now()));
-    }
-    co_return result;
-  }
+asio::awaitable<CallResult> CallHandler::Send(HttpRequest& request) {
+  sends_ = std::make_shared<CallSends>(
+      state_, loop_,
+      AdmittedCall{.origin = origin_,
+                   .offer = offer_,
+                   .id = call_id_,
+                   .routing = routing_,
+                   .service = service_,
+                   .dispatcher = dispatcher_,
+                   .caller = std::string(CallerOf(request)),
+                   .attempts = attempt_,
+                   .claim = claim_});
+  if (caller_gone_) {
+    sends_->OnCallerGone();
+  }
+  co_return co_await sends_->Run(request);
 }
 
 void CallHandler::Log(const HttpRequest& request,
@@ -555,17 +309,19 @@
   } else {
     record.failure = ToString(result.failure.kind);
   }
-  record.endpoint = last_endpoint_;
-  record.sends = sends_ + (was_relayed_ ? 1 : 0);
+  if (sends_) {
+    record.endpoint = sends_->last_endpoint();
+    record.sends = sends_->count() + (sends_->was_relayed() ? 1 : 0);
+    record.at_endpoints = sends_->at_endpoints();
+    record.basis = sends_->basis();
+  }
   record.total = now - offer_.arrival;
-  record.at_endpoints = at_endpoints_;
   const bool has_objective = offer_.on_time_until != TimePoint();
   record.left = has_objective ? offer_.on_time_until - now : Duration::zero();
-  record.basis = basis_;
   record.routes_version =
       routing_->has_routes() ? routing_->book()->version : 0;
   if (NeedsLogLine(record)) {
-    record.request = quarantine_check_.Fingerprint(CallerOf(request), request);
+    record.request = FingerprintOf(CallerOf(request), request);
     state_.call_log().Write(record, now);
   }
 }
@@ -608,9 +364,10 @@
   CallResult result = co_await std::move(admission);
   const TimePoint now = Clock::now();
   const Duration total = now - offer_.arrival;
+  const Duration at_endpoints = sends_ ? sends_->at_endpoints() : Duration();
   Log(request, result, now);
   state_.metrics().Record({offer_.customer, offer_.urgency},
-                          {result.outcome, total, total - at_endpoints_});
+                          {result.outcome, total, total - at_endpoints});
   co_return Render(request, std::move(result));
 }
 
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -2,24 +2,20 @@
 #define PROXY_CALL_HANDLER_H_
 
 #include <memory>
-#include <optional>
 #include <string_view>
 
-#include "policy/call_outcome.h"
 #include "proxy/call_origin.h"
-#include "proxy/call_quarantine_check.h"
-#include "proxy/call_relay.h"
+#include "proxy/call_result.h"
+#include "proxy/call_sends.h"
 #include "proxy/claim_guard.h"
-#include "proxy/failure.h"
 #include "proxy/http_types.h"
 #include "proxy/proxy_loop.h"
 #include "proxy/proxy_state.h"
 
 namespace damasktack {
 
-// Handles one complete request: admits it, routes it, sends it to an endpoint
-// with retries, or relays it to a peer while no endpoint can be reached, and
-// returns the answer. Used on one I/O thread only; must be owned by a
+// Handles one complete request: admits it, routes it, has it sent (CallSends),
+// and returns the answer. Used on one I/O thread only; must be owned by a
 // shared_ptr until Handle has returned.
 class CallHandler : public std::enable_shared_from_this<CallHandler> {
  public:
@@ -32,7 +28,6 @@
   void OnCallerGone();
 
  private:
-  struct CallResult;
   struct ClaimOutcome;
 
   asio::awaitable<bool> AwaitCurrentState(const HttpRequest& request);
@@ -43,24 +38,9 @@
   asio::awaitable<CallResult> RouteByHost(HttpRequest& request);
   asio::awaitable<CallResult> SendUnderClaim(HttpRequest& request);
   asio::awaitable<std::shared_ptr<ClaimOutcome>> AwaitClaim(ClaimRequest claim);
-  asio::awaitable<CallResult> SendWithRetries(HttpRequest& request);
-  asio::awaitable<ExchangeResult> SendOnce(HttpRequest& request,
-                                           const Placement& placement);
-  // Relays a call for which this host reaches no endpoint. Returns null if no
-  // peer took it.
-  asio::awaitable<std::optional<CallResult>> Relay(HttpRequest& request,
-                                                   const CallOutcome& before);
-  asio::awaitable<Placement> AwaitPlacement();
+  asio::awaitable<CallResult> Send(HttpRequest& request);
   // Waits until `wake_` is cancelled or `until` is reached.
   asio::awaitable<void> Sleep(TimePoint until);
-  ServiceDispatcher::OnPlaced MakeOnPlaced();
-  bool HasTimeToSend() const;
-  // Returns the reason why the request must not be sent now, or null if it may
-  // be sent.
-  std::optional<FailureKind> FindSendObstacle(const HttpRequest& request);
-  // Returns a placement unused. False if the call has already been placed
-  // again.
-  bool ReturnPlacement(const Placement& placement);
   // Removes the headers of a relayed call, and applies what they state.
   void TakeRelayHeaders(HttpRequest& request);
   HttpResponse Render(const HttpRequest& request, CallResult result);
@@ -74,7 +54,6 @@
   ProxyLoop& loop_;
   const CallOrigin origin_;
   asio::steady_timer wake_;
-  CallQuarantineCheck quarantine_check_;
   RoutingTablePtr routing_;
   const Contract* contract_ = nullptr;
   const ServiceSpec* service_ = nullptr;
@@ -82,19 +61,12 @@
   CallOffer offer_;
   // Chosen by the caller if the protocol lets callers assign call ids.
   CallId call_id_;
-  std::optional<Placement> placement_;
-  // What the last placement or refusal was based on.
-  DecisionBasis basis_;
   std::shared_ptr<ClaimOutcome> claim_outcome_;
   std::shared_ptr<ClaimGuard> claim_;
-  std::shared_ptr<EndpointExchange> exchange_;
-  CallRelay relay_;
-  Duration at_endpoints_{};
-  int sends_ = 0;
+  // Null until the call is admitted.
+  std::shared_ptr<CallSends> sends_;
   // Sends to endpoints by the peer that relays the call.
   int earlier_sends_ = 0;
-  bool was_relayed_ = false;
-  EndpointId last_endpoint_;
   std::int64_t attempt_ = 0;
   bool awaits_claim_ = false;
   bool caller_gone_ = false;
