Decide whether a call gets a second send while its first is in flight

Cause: no decision is made between a send and its deadline. A call whose endpoint became slow or lost the answer stays there.

Change: HedgePolicy decides when a second send is due and whether it helps; AnswerTimes learns the usual time of each route; RetryBudget and RetryWindow pay for such sends, keep them within 0.08 of the first sends and leave a quarter of the budget for retries; CallOutcome takes two sends that were in flight at once. Both balancers implement DecideHedge by the same class, Hedging.

--- a/policy/balancer.h
+++ b/policy/balancer.h
@@ -56,12 +56,15 @@
   int sends = 1;
 };
 
-// Exactly one of the members is set, or none if the call gets no second send.
+// At most one of `dispatch` and `ask_again_after` is set; none if the call gets
+// no second send.
 struct HedgeDecision {
   // Send the call a second time, now.
-  std::optional<Dispatch> dispatch;
+  std::optional<Dispatch> dispatch = std::nullopt;
   // Ask again after this time.
-  std::optional<Duration> ask_again_after;
+  std::optional<Duration> ask_again_after = std::nullopt;
+  // Probes were requested, so NextProbe must be polled.
+  bool has_probes = false;
 };
 
 struct BalancerStatus {
@@ -70,6 +73,9 @@
   std::array<std::size_t, kUrgencyCount> waiting_by_urgency{};
   std::uint64_t retries_granted = 0;
   std::uint64_t retries_withheld = 0;
+  std::uint64_t hedges_granted = 0;
+  // Second sends that a budget did not allow.
+  std::uint64_t hedges_withheld = 0;
 };
 
 // Makes all decisions for one service on one host: which calls wait, which
--- a/policy/call_outcome.cc
+++ b/policy/call_outcome.cc
@@ -1,5 +1,7 @@
 #include "policy/call_outcome.h"
 
+#include <utility>
+
 #include "policy/chart_texts.h"
 
 namespace damasktack {
@@ -64,6 +66,20 @@
   ApplyEvent(event);
 }
 
+void CallOutcome::OnSendsEnd(SendResult one, SendResult other) {
+  for (const SendResult answer : {SendResult::kFailed, SendResult::kAnswered}) {
+    if (one == answer) {
+      std::swap(one, other);
+    }
+  }
+  if (other != SendResult::kAnswered) {
+    OnSendEnd(one);
+    OnSentAgain();
+    OnPlaced();
+  }
+  OnSendEnd(other);
+}
+
 bool CallOutcome::MaySendAgain() const {
   if (has_invalid_step_) {
     return false;
--- a/policy/call_outcome.h
+++ b/policy/call_outcome.h
@@ -84,6 +84,10 @@
   // send implies it.
   void OnWrote();
   void OnSendEnd(SendResult result);
+  // Two sends were in flight at the same time, and both have ended without an
+  // answer that ended the call before. The outcome is that of the same sends
+  // one after the other, an answer last.
+  void OnSendsEnd(SendResult one, SendResult other);
   // After OnSendEnd, the owner either sends the call again or ends it.
   void OnSentAgain();
   void OnGivenUp();
--- a/policy/endpoint_measure.h
+++ b/policy/endpoint_measure.h
@@ -54,6 +54,8 @@
                Duration memory,
                TimePoint now) const;
 
+  // Returns the pace in the last report, without any correction.
+  double reported_pace() const { return pace_; }
   Duration ReportAge(TimePoint now) const {
     return reported_at_ ? now - *reported_at_ : Duration(-1);
   }
--- a/policy/endpoint_table.cc
+++ b/policy/endpoint_table.cc
@@ -147,6 +147,12 @@
   return buf;
 }
 
+bool EndpointTable::HasFreeSlot(EndpointIndex endpoint, TimePoint now) const {
+  const EndpointRecord& record = roster_.records()[endpoint];
+  return record.estimate.Calls(Prior(now), record.slots, now) + 1 <=
+         record.slots;
+}
+
 bool EndpointTable::AnyUsable(TimePoint now) const {
   return std::ranges::any_of(
       roster_.usable(), [&](EndpointIndex it) { return AcceptsCall(it, now); });
--- a/policy/endpoint_table.h
+++ b/policy/endpoint_table.h
@@ -61,6 +61,8 @@
   std::optional<EndpointIndex> Pick(const PickRequest& request,
                                     TimePoint now,
                                     Random& random);
+  // Returns whether a further call would use a free slot, by the estimate.
+  bool HasFreeSlot(EndpointIndex endpoint, TimePoint now) const;
   // Returns whether any endpoint may be chosen at present.
   bool AnyUsable(TimePoint now) const;
   // Returns the first time at which the stated limits allow a call to some
--- /dev/null
+++ b/policy/hedge_policy.cc
@@ -0,0 +1,86 @@
+#include "policy/hedge_policy.h"
+
+#include <algorithm>
+
+#include "policy/scaled_time.h"
+
+namespace damasktack {
+
+namespace {
+
+// Part (1/n) of the typical time between two decisions on one call.
+constexpr int kRecheckDivisor = 4;
+constexpr Duration kMinRecheck = std::chrono::milliseconds(5);
+// Part (1/n) of the typical time before which no decision is made.
+constexpr int kFirstCheckDivisor = 2;
+// Part (1/n) of the typical time that a send at a slow endpoint is assumed to
+// need at least. How much of the work is done is not known.
+constexpr int kMinWorkDivisor = 4;
+
+}  // namespace
+
+Duration HedgePolicy::FirstCheck(const HedgeView& view) const {
+  const Duration second = view.second.value_or(view.times.typical);
+  const Duration latest = view.in_flight + view.to_objective -
+                          Scaled(second, options_.on_time_margin);
+  return std::max(latest, view.times.typical / kFirstCheckDivisor);
+}
+
+bool HedgePolicy::IsFirstWorse(const HedgeView& view) const {
+  return view.is_first_lost ||
+         (view.first_pace && *view.first_pace > options_.slow_pace);
+}
+
+Duration HedgePolicy::FirstEndsIn(const HedgeView& view) const {
+  if (view.is_first_lost) {
+    return view.to_deadline;
+  }
+  if (!IsFirstWorse(view)) {
+    // Overdue for an unknown reason: expected to take as long again.
+    return view.in_flight;
+  }
+  const Duration work = std::max(view.times.typical - view.in_flight,
+                                 view.times.typical / kMinWorkDivisor);
+  return Scaled(work, *view.first_pace);
+}
+
+HedgeAdvice HedgePolicy::Decide(const HedgeView& view, TimePoint now) const {
+  const Duration second = view.second.value_or(view.times.typical);
+  if (second >= view.to_deadline) {
+    return {HedgeStep::kNever};
+  }
+  const Duration recheck =
+      std::max(view.times.typical / kRecheckDivisor, kMinRecheck);
+  if (now < paused_until_) {
+    return {HedgeStep::kWait, std::max(paused_until_ - now, recheck)};
+  }
+  const Duration first_check = FirstCheck(view);
+  if (!view.is_first_lost && view.in_flight < first_check) {
+    return {HedgeStep::kWait, first_check - view.in_flight};
+  }
+  if (!view.is_first_lost && !view.first_pace && view.can_probe_first) {
+    return {HedgeStep::kProbeFirst, recheck};
+  }
+  if (!IsFirstWorse(view) && view.in_flight < view.times.usual) {
+    return {HedgeStep::kWait,
+            std::min(view.times.usual - view.in_flight, recheck)};
+  }
+  const bool is_late = second > view.to_objective;
+  const bool is_useful =
+      !is_late || Scaled(second, options_.late_margin) < FirstEndsIn(view);
+  if (!is_useful) {
+    return {HedgeStep::kWait, recheck};
+  }
+  return {view.second ? HedgeStep::kSend : HedgeStep::kFindEndpoint, recheck,
+          is_late};
+}
+
+bool CancelsLosingSend(const HedgeOptions& options,
+                       std::optional<Duration> ends_in) {
+  if (options.losing_send == LosingSend::kRunsOnIfSoonOver) {
+    return !ends_in || *ends_in > options.run_on_limit;
+  }
+  return options.losing_send == LosingSend::kIsCancelled;
+}
+
+}  // namespace damasktack
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -31,7 +31,8 @@
       endpoints_(options_),
       probes_(options_, endpoints_),
       queue_(options_.admission),
-      retries_(options_.retries, RandomFraction(random_)) {}
+      retries_(options_.retries, RandomFraction(random_)),
+      hedging_(options_.hedge) {}
 
 void MeasuredBalancer::SetService(const ServiceSpec& service,
                                   std::int64_t hosts,
@@ -131,9 +132,11 @@
   if (queue_.empty()) {
     return;
   }
+  const std::size_t before = out.rejections.size();
   queue_.Expire(now, ServiceTimes{}, out.rejections);
   while (ProcessOne(now, out)) {
   }
+  hedging_.OnRefusals(before, out, now);
 }
 
 bool MeasuredBalancer::ProcessOne(TimePoint now, Decisions& out) {
@@ -199,7 +202,9 @@
                                    const SendEnd& end,
                                    TimePoint now,
                                    Decisions& out) {
-  endpoints_.OnSendEnd(end, now);
+  if (endpoints_.OnSendEnd(end, now)) {
+    hedging_.OnAnswer(offer, end.took);
+  }
   retries_.OnSendEnd(end.result);
   if (!MayRetry(offer, end, now)) {
     ProcessQueue(now, out);
@@ -209,6 +214,50 @@
   return AfterSend::kRetry;
 }
 
+HedgeDecision MeasuredBalancer::DecideHedge(const HedgeRequest& request,
+                                            TimePoint now) {
+  if (request.sends >= AttemptLimit(request.offer)) {
+    return {};
+  }
+  const WaitingCall call{request.offer, request.first};
+  std::optional<MeasuredCandidate> best;
+  const auto find = [&] {
+    best = endpoints_.Best(call, MeasuredEndpoints::CandidateSet::kFresh, now,
+                           random_);
+    Hedging::Endpoints found;
+    found.first_pace =
+        endpoints_.PaceSince(request.first, request.in_flight, now);
+    if (found.first_pace > options_.hedge.slow_pace) {
+      endpoints_.OnSlowSend(request.first_token);
+    }
+    found.can_probe_first = true;
+    found.is_first_lost =
+        endpoints_.measure(request.first).FailedSince(now - request.in_flight);
+    if (best && best->is_good && best->index != request.first) {
+      found.second = {request.offer.token, best->index, BasisOf(best, now)};
+      found.second_work = Ratio(best->finish, endpoints_.usual_time());
+    }
+    return found;
+  };
+  const auto probe_first = [&]() -> std::optional<Duration> {
+    return probes_.RequestProbe(request.first, now)
+               ? std::optional<Duration>(options_.probe_timeout / 2)
+               : std::nullopt;
+  };
+  const auto probe_others = [&]() -> std::optional<Duration> {
+    const bool awaits_probes = probes_.HasPendingProbes(now) ||
+                               probes_.RequestProbes(call, now, random_);
+    return awaits_probes ? std::optional<Duration>(options_.probe_timeout / 2)
+                         : std::nullopt;
+  };
+  HedgeDecision decision =
+      hedging_.Decide(request, retries_, now, find, probe_first, probe_others);
+  if (decision.dispatch) {
+    endpoints_.OnSend(request.offer.token, *best, now);
+  }
+  return decision;
+}
+
 Duration MeasuredBalancer::RetryAfterSend(const CallOffer& offer,
                                           const SendEnd& end,
                                           TimePoint now) {
@@ -228,6 +277,12 @@
          !returning_callers_.IsReturning(offer.customer, offer.asked);
 }
 
+int MeasuredBalancer::AttemptLimit(const CallOffer& offer) const {
+  return offer.attempt_limit > 0
+             ? std::min(offer.attempt_limit, options_.attempt_limit)
+             : options_.attempt_limit;
+}
+
 bool MeasuredBalancer::MayRetry(const CallOffer& offer,
                                 const SendEnd& end,
                                 TimePoint now) {
@@ -235,11 +290,7 @@
       end.is_suspected || offer.is_retry) {
     return false;
   }
-  const int attempt_limit =
-      offer.attempt_limit > 0
-          ? std::min(offer.attempt_limit, options_.attempt_limit)
-          : options_.attempt_limit;
-  if (end.sends >= attempt_limit ||
+  if (end.sends >= AttemptLimit(offer) ||
       now + endpoints_.usual_time() >= offer.deadline) {
     return false;
   }
@@ -303,6 +354,8 @@
   }
   status.retries_granted = retries_granted_;
   status.retries_withheld = retries_withheld_;
+  status.hedges_granted = hedging_.granted();
+  status.hedges_withheld = hedging_.withheld();
   return status;
 }
 
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -7,6 +7,7 @@
 #include "core/random.h"
 #include "policy/admission_queue.h"
 #include "policy/balancer.h"
+#include "policy/hedging.h"
 #include "policy/measured_endpoints.h"
 #include "policy/measured_options.h"
 #include "policy/probe_planner.h"
@@ -43,6 +44,8 @@
                    const SendEnd& end,
                    TimePoint now,
                    Decisions& out) override;
+  HedgeDecision DecideHedge(const HedgeRequest& request,
+                            TimePoint now) override;
   // A refusal by one endpoint says little about the others: if they have room,
   // the caller is told to return at once. With a delay of one second, one call
   // in seven was late while endpoints refused four calls in ten.
@@ -128,6 +131,7 @@
                       const std::optional<MeasuredCandidate>& best,
                       TimePoint now) const;
   bool IsLeftToCaller(const CallOffer& offer) const;
+  int AttemptLimit(const CallOffer& offer) const;
   bool MayRetry(const CallOffer& offer, const SendEnd& end, TimePoint now);
   void UpdateUnavailableSince(const WaitingCall& call,
                               bool is_available,
@@ -139,6 +143,7 @@
   ProbePlanner probes_;
   AdmissionQueue queue_;
   RetryBudget retries_;
+  Hedging hedging_;
   ReturningCallerDetector returning_callers_;
   // Time since which no endpoint has been able to take a call.
   std::optional<TimePoint> unavailable_since_;
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -312,7 +312,7 @@
                                const MeasuredCandidate& to,
                                TimePoint now) {
   SentCall& sent = sent_[token];
-  sent = {to.FillAfterSend(), to.pace, to.is_fresh, std::nullopt};
+  sent = {to.FillAfterSend(), to.pace, to.is_fresh, false, std::nullopt};
   if (cold_.IsSlow(to.index, now)) {
     sent.warm_time = Scaled(to.finish, 1 / cold_slowdown_.value());
   }
@@ -322,7 +322,7 @@
   measures_[to.index].OnSend();
 }
 
-void MeasuredEndpoints::OnSendEnd(const SendEnd& end, TimePoint now) {
+bool MeasuredEndpoints::OnSendEnd(const SendEnd& end, TimePoint now) {
   roster_.record(end.endpoint).estimate.OnEnd();
   if (end.report) {
     OnReport(end.endpoint, *end.report, now);
@@ -334,22 +334,45 @@
   // second.
   roster_.OnSendEnd(end.endpoint, end.result, 1, now);
   if (const auto sent = sent_.extract(end.token)) {
-    Learn(end, sent.mapped());
+    return Learn(end, sent.mapped());
   }
+  return false;
 }
 
-void MeasuredEndpoints::Learn(const SendEnd& end, const SentCall& sent) {
+void MeasuredEndpoints::OnSlowSend(CallToken token) {
+  const auto it = sent_.find(token);
+  if (it != sent_.end()) {
+    it->second.was_slow = true;
+  }
+}
+
+bool MeasuredEndpoints::Learn(const SendEnd& end, const SentCall& sent) {
   if (sent.warm_time) {
     if (end.result == SendResult::kAnswered && sent.is_fresh) {
       cold_slowdown_.OnExecution(end.took, *sent.warm_time);
     }
-    return;
+    return false;
   }
-  const bool was_slow = sent.pace > options_.good_pace ||
+  const bool was_slow = sent.was_slow || sent.pace > options_.good_pace ||
                         (end.report && end.report->pace > options_.good_pace);
-  if (end.result == SendResult::kAnswered && sent.is_fresh && !was_slow) {
+  const bool is_usual =
+      end.result == SendResult::kAnswered && sent.is_fresh && !was_slow;
+  if (is_usual) {
     profile_.OnExecution(sent.fill, end.took);
   }
+  return is_usual;
+}
+
+std::optional<double> MeasuredEndpoints::PaceSince(EndpointIndex index,
+                                                   Duration age,
+                                                   TimePoint now) const {
+  const EndpointMeasure& measure = measures_[index];
+  const Duration asked_age = measure.AskedAge(now);
+  if (asked_age < Duration::zero() || asked_age > age ||
+      asked_age > options_.memory / 2) {
+    return std::nullopt;
+  }
+  return measure.reported_pace();
 }
 
 void MeasuredEndpoints::OnReport(EndpointIndex endpoint,
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -63,7 +63,10 @@
   // Initializes the usual execution time from the first call's objective.
   void GuessUsualTime(const CallOffer& offer);
   void OnSend(CallToken token, const MeasuredCandidate& to, TimePoint now);
-  void OnSendEnd(const SendEnd& end, TimePoint now);
+  // Returns whether the send was answered by an endpoint of usual pace.
+  bool OnSendEnd(const SendEnd& end, TimePoint now);
+  // Records that the endpoint of a send in flight has been slow meanwhile.
+  void OnSlowSend(CallToken token);
   void OnReport(EndpointIndex endpoint,
                 const EndpointReport& report,
                 TimePoint now);
@@ -138,6 +141,11 @@
   bool IsFresh(EndpointIndex index, TimePoint now) const {
     return measures_[index].IsFresh(now, options_.fresh);
   }
+  // Returns the pace of the endpoint if a recent report says it, whose data is
+  // younger than `age`.
+  std::optional<double> PaceSince(EndpointIndex index,
+                                  Duration age,
+                                  TimePoint now) const;
   // Returns the execution time at an endpoint that is hardly used.
   Duration usual_time() const { return profile_.usual(); }
   std::vector<EndpointStatus> Status(TimePoint now) const;
@@ -148,6 +156,8 @@
     double fill = 0;
     double pace = 1;
     bool is_fresh = false;
+    // The endpoint was slow at some time since.
+    bool was_slow = false;
     // Expected time of the call at the same pace if the endpoint were warm; set
     // only if it was cold.
     std::optional<Duration> warm_time;
@@ -175,7 +185,8 @@
   void UpdatePreference();
   double PaceOf(EndpointIndex index, TimePoint now) const;
   double CallsAt(EndpointIndex index, TimePoint now) const;
-  void Learn(const SendEnd& end, const SentCall& sent);
+  // Returns whether the send was answered by an endpoint of usual pace.
+  bool Learn(const SendEnd& end, const SentCall& sent);
 
   const MeasuredBalancerOptions options_;
   std::vector<EndpointSpec> specs_;
--- a/policy/measured_options.h
+++ b/policy/measured_options.h
@@ -8,6 +8,7 @@
 #include "policy/admission_queue.h"
 #include "policy/cold_endpoints.h"
 #include "policy/endpoint_preference.h"
+#include "policy/hedge_policy.h"
 #include "policy/retry_budget.h"
 
 namespace damasktack {
@@ -19,6 +20,7 @@
   ZoneId zone;
   AdmissionOptions admission;
   RetryBudgetOptions retries;
+  HedgeOptions hedge;
   // Limit on the sends of one call, if its route allows more.
   int attempt_limit = 3;
 
--- a/policy/probe_planner.cc
+++ b/policy/probe_planner.cc
@@ -99,6 +99,23 @@
   return any;
 }
 
+bool ProbePlanner::RequestProbe(EndpointIndex index, TimePoint now) {
+  const EndpointMeasure& measure = endpoints_.measure(index);
+  if (!endpoints_.AreReporting()) {
+    return false;
+  }
+  if (measure.HasProbe()) {
+    return measure.IsPending(now, options_.max_probe_timeout);
+  }
+  if (!budget_.Take(now)) {
+    ++withheld_;
+    return false;
+  }
+  endpoints_.OnProbe(index, now);
+  requested_probes_.push_back(index);
+  return true;
+}
+
 std::optional<EndpointIndex> ProbePlanner::Next() {
   if (requested_probes_.empty()) {
     return std::nullopt;
--- a/policy/retry_budget.cc
+++ b/policy/retry_budget.cc
@@ -94,10 +94,44 @@
   return true;
 }
 
+void RetryBudget::UpdateWindowShare(TimePoint now) {
+  window_.SetShare(options_.fleet_slack * kAllocatedSlack / fleet_.Count(now));
+}
+
+bool RetryBudget::TrySpendOnHedge(const CustomerId& customer,
+                                  std::int64_t percent,
+                                  const HedgeShare& share,
+                                  TimePoint now) {
+  if (percent <= 0) {
+    return false;
+  }
+  Budget& customer_budget = BudgetOf(customer, now);
+  if (customer_budget.retries < 2 || !TrySpendOnHedgeFromService(share, now)) {
+    return false;
+  }
+  customer_budget.retries -= 1;
+  return true;
+}
+
+bool RetryBudget::TrySpendOnHedgeFromService(const HedgeShare& share,
+                                             TimePoint now) {
+  if (options_.fleet_slack > 0) {
+    UpdateWindowShare(now);
+    return window_.TrySpendOnHedge(share, now);
+  }
+  Refill(service_, now);
+  const double reserve = share.reserve * options_.service_cap;
+  if (service_.retries < 1 + reserve || !window_.AllowsHedge(share, now)) {
+    return false;
+  }
+  service_.retries -= 1;
+  window_.OnHedge(now);
+  return true;
+}
+
 bool RetryBudget::TrySpendFromService(TimePoint now) {
   if (options_.fleet_slack > 0) {
-    window_.SetShare(options_.fleet_slack * kAllocatedSlack /
-                     fleet_.Count(now));
+    UpdateWindowShare(now);
     return window_.TrySpend(now);
   }
   Refill(service_, now);
--- a/policy/retry_budget.h
+++ b/policy/retry_budget.h
@@ -57,12 +57,22 @@
                 std::int64_t percent,
                 TimePoint now);
 
+  // Like TrySpend, for a second send of a call whose first one is in flight.
+  // Leaves the customer one retry, and the service the reserve.
+  bool TrySpendOnHedge(const CustomerId& customer,
+                       std::int64_t percent,
+                       const HedgeShare& share,
+                       TimePoint now);
+
   void OnSendEnd(SendResult result);
   // Returns whether a retry after `result` would most likely fail too. This
   // never holds for a call that certainly did not run: then this hop is the
   // nearest to the failure, and another endpoint may be healthy.
   bool IsFutile(SendResult result) const;
 
+  // Returns whether so many sends fail that most second sends would fail too.
+  bool AreFailing() const { return failing_ > options_.max_failing; }
+
   // Returns whether so many sends are refused that retries must be reserved for
   // the callers that need them most.
   bool AreScarce() const { return refused_ > options_.max_refused; }
@@ -79,6 +89,9 @@
   void Refill(Budget& customer_budget, TimePoint now) const;
   void RemoveIdle(TimePoint now);
   bool TrySpendFromService(TimePoint now);
+  bool TrySpendOnHedgeFromService(const HedgeShare& share, TimePoint now);
+  // Updates this host's part of the fleet's slack.
+  void UpdateWindowShare(TimePoint now);
 
   RetryBudgetOptions options_;
   std::unordered_map<CustomerId, Budget> customers_;
--- a/policy/retry_window.h
+++ b/policy/retry_window.h
@@ -9,6 +9,15 @@
 
 namespace damasktack {
 
+// Part of the retries that may be spent on second sends of calls whose first
+// send is in flight (hedges).
+struct HedgeShare {
+  // Limit on hedges as a fraction of first sends.
+  double max_fraction = 0;
+  // Fraction of the retry budget that hedges leave for retries.
+  double reserve = 0;
+};
+
 // Limits the retries that one host of a fleet sends to one service. All hosts
 // together may send a fraction of the first sends of any window, plus a slack.
 //
@@ -31,6 +40,12 @@
   void OnFirstSend(TimePoint now) { ++SliceAt(now).first_sends; }
   // Spends one retry. Returns false, and spends nothing, if none is left.
   bool TrySpend(TimePoint now);
+  // Returns whether the fraction of hedges allows one more.
+  bool AllowsHedge(const HedgeShare& share, TimePoint now) const;
+  // Spends one retry on a hedge, if the reserve allows it.
+  bool TrySpendOnHedge(const HedgeShare& share, TimePoint now);
+  // Counts a hedge that was paid for otherwise.
+  void OnHedge(TimePoint now) { ++SliceAt(now).hedges; }
 
  private:
   // The window is divided into slices. Retries count for one slice longer than
@@ -42,13 +57,17 @@
   struct Slice {
     std::int64_t number = -1;
     std::int64_t first_sends = 0;
+    // Hedges included.
     std::int64_t retries = 0;
+    std::int64_t hedges = 0;
   };
 
   static std::int64_t NumberOf(TimePoint now) {
     return now.time_since_epoch() / kSlice;
   }
   Slice& SliceAt(TimePoint now);
+  // Returns whether one more retry leaves the reserve, a fraction of the whole.
+  bool LeavesReserve(double reserve, TimePoint now) const;
 
   double fraction_;
   double rounding_;
--- a/policy/service_balancer.cc
+++ b/policy/service_balancer.cc
@@ -26,7 +26,8 @@
       table_(options_.table),
       queue_(AdmissionOptionsFrom(options_)),
       reservation_(options_.reservation),
-      retries_(options_.retries) {}
+      retries_(options_.retries),
+      hedging_(options_.hedge) {}
 
 void ServiceBalancer::SetService(const ServiceSpec& service,
                                  std::int64_t hosts,
@@ -69,6 +70,7 @@
   ProcessQueue(now, out);
   if (overload_policy == OverloadPolicy::kShed && queue_.Remove(token)) {
     out.rejections.push_back({token, Refusal::kShed});
+    hedging_.OnRefusals(0, out, now);
   }
 }
 
@@ -114,6 +116,9 @@
     return;
   }
   service_times_[Index(offer.urgency)].Learn(end.took);
+  if (!end.report || end.report->pace <= options_.hedge.slow_pace) {
+    hedging_.OnAnswer(offer, end.took);
+  }
   const Duration execution =
       execution_time_.Estimate(end.took, RoundTripTo(end.endpoint), end.report);
   queue_.Learn(offer.urgency, offer.customer, execution);
@@ -124,6 +129,39 @@
   return same_zone ? Duration::zero() : 2 * options_.table.zone_distance;
 }
 
+int ServiceBalancer::AttemptLimit(const CallOffer& offer) const {
+  return offer.attempt_limit > 0
+             ? std::min(offer.attempt_limit, options_.attempt_limit)
+             : options_.attempt_limit;
+}
+
+// The pace of the first endpoint is not known, as the reports come with this
+// host's own answers.
+HedgeDecision ServiceBalancer::DecideHedge(const HedgeRequest& request,
+                                           TimePoint now) {
+  if (request.sends >= AttemptLimit(request.offer)) {
+    return {};
+  }
+  const auto find = [&] {
+    Hedging::Endpoints found;
+    const PickRequest pick{request.offer.urgency, 1, request.first};
+    const auto second = table_.Pick(pick, now, random_);
+    if (second && *second != request.first &&
+        table_.HasFreeSlot(*second, now)) {
+      found.second = {request.offer.token, *second};
+    }
+    return found;
+  };
+  const auto probe = []() -> std::optional<Duration> { return std::nullopt; };
+  HedgeDecision decision =
+      hedging_.Decide(request, retries_, now, find, probe, probe);
+  if (decision.dispatch) {
+    table_.OnSend(decision.dispatch->endpoint, now);
+    ++in_flight_;
+  }
+  return decision;
+}
+
 bool ServiceBalancer::MayRetry(const CallOffer& offer,
                                const SendEnd& end,
                                TimePoint now) {
@@ -135,11 +173,7 @@
   if (end.retried_downstream || offer.is_retry) {
     return false;
   }
-  const int attempt_limit =
-      offer.attempt_limit > 0
-          ? std::min(offer.attempt_limit, options_.attempt_limit)
-          : options_.attempt_limit;
-  if (end.sends >= attempt_limit ||
+  if (end.sends >= AttemptLimit(offer) ||
       now + MinServiceTime(offer.urgency) >= offer.deadline) {
     return false;
   }
@@ -176,12 +210,14 @@
   if (queue_.empty()) {
     return;
   }
+  const std::size_t before = out.rejections.size();
   UpdateUnusableSince(now);
   RejectUnservable(now, out);
   GrantFloorCredits(now);
   while (SendNext(now, out)) {
   }
   SendDespiteLoad(now, out);
+  hedging_.OnRefusals(before, out, now);
 }
 
 void ServiceBalancer::RejectUnservable(TimePoint now, Decisions& out) {
@@ -332,6 +368,8 @@
   }
   status.retries_granted = retries_granted_;
   status.retries_withheld = retries_withheld_;
+  status.hedges_granted = hedging_.granted();
+  status.hedges_withheld = hedging_.withheld();
   return status;
 }
 
--- a/policy/service_balancer.h
+++ b/policy/service_balancer.h
@@ -16,6 +16,7 @@
 #include "policy/endpoint_report.h"
 #include "policy/endpoint_table.h"
 #include "policy/execution_time.h"
+#include "policy/hedging.h"
 #include "policy/retry_budget.h"
 #include "policy/service_time_estimate.h"
 #include "policy/trunk_reservation.h"
@@ -28,6 +29,7 @@
   AdmissionOptions admission;
   TrunkReservationOptions reservation;
   RetryBudgetOptions retries;
+  HedgeOptions hedge;
   // Limit on the sends of one call.
   int attempt_limit = 3;
   // Time for which calls wait for a usable endpoint before they are refused.
@@ -53,6 +55,8 @@
                    const SendEnd& end,
                    TimePoint now,
                    Decisions& out) override;
+  HedgeDecision DecideHedge(const HedgeRequest& request,
+                            TimePoint now) override;
   void Report(EndpointIndex endpoint,
               const EndpointReport& report,
               TimePoint now,
@@ -112,6 +116,7 @@
             TimePoint now,
             Decisions& out);
   bool HasPrecedence(Urgency urgency) const;
+  int AttemptLimit(const CallOffer& offer) const;
   bool MayRetry(const CallOffer& offer, const SendEnd& end, TimePoint now);
   void Learn(const CallOffer& offer, const SendEnd& end);
   // Network round-trip time to the endpoint.
@@ -126,6 +131,7 @@
   AdmissionQueue queue_;
   TrunkReservation reservation_;
   RetryBudget retries_;
+  Hedging hedging_;
   std::array<ServiceTimeEstimate, kUrgencyCount> service_times_;
   ExecutionTime execution_time_;
   // Time of the last dispatch of each urgency, or the time at which it began to
--- a/tests/policy/test_call_outcome.cc
+++ b/tests/policy/test_call_outcome.cc
@@ -275,5 +275,32 @@
   CHECK(held);
 }
 
+// Guards against "not-run" for a call of which one of two sends in flight may
+// have run, and against an answer that is reported as unknown.
+TEST_CASE("the outcome of two sends at once is that of both") {
+  for (std::size_t one = 0; one < kSendResultCount; ++one) {
+    for (std::size_t other = 0; other < kSendResultCount; ++other) {
+      const auto first = static_cast<SendResult>(one);
+      const auto second = static_cast<SendResult>(other);
+      CAPTURE(ToString(first));
+      CAPTURE(ToString(second));
+      const auto is_answer = [](SendResult it) {
+        return it == SendResult::kAnswered || it == SendResult::kFailed;
+      };
+      CallOutcome call(true);
+      call.OnPlaced();
+      call.OnSendsEnd(first, second);
+      call.OnGivenUp();
+      Outcome expected = Outcome::kUnknown;
+      if (is_answer(first) || is_answer(second)) {
+        expected = Outcome::kComplete;
+      } else if (SurelyNotRun(first) && SurelyNotRun(second)) {
+        expected = Outcome::kNotRun;
+      }
+      CHECK(call.outcome() == expected);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace damasktack
--- a/tests/policy/test_retry_budget.cc
+++ b/tests/policy/test_retry_budget.cc
@@ -214,6 +214,54 @@
   }
 }
 
+// Guards against second sends that use up the retries of a fleet, also while a
+// third of the hosts receives no messages and counts only itself.
+TEST_CASE("hedges of all hosts stay within their share and leave retries") {
+  constexpr HedgeShare kShare{0.08, 0.25};
+  constexpr std::size_t kSteps = 250;
+  constexpr std::uint32_t kWhole = 1000;
+  const CustomerId customer("c");
+  Random random(20261204);
+  for (const std::size_t hosts : {1UL, 48UL, 93UL, 300UL}) {
+    constexpr double kSlack = 156;
+    std::vector<RetryBudget> fleet = MakeFleet(hosts, kSlack, random);
+    const TimePoint start = kStart + std::chrono::seconds(6);
+    for (std::size_t n = 0; n < hosts / 3; ++n) {
+      fleet[n].SetFleet(1, kEndpoints, start);
+    }
+    FleetLoad load{std::vector<double>(kSteps), std::vector<double>(kSteps)};
+    double hedges = 0;
+    for (std::size_t step = 0; step < kSteps; ++step) {
+      const TimePoint now = start + step * milliseconds(100);
+      for (RetryBudget& budget : fleet) {
+        if (UniformBelow(random, kWhole) < 300) {
+          budget.OnFirstSend(customer, 100, now);
+          load.sends[step] += 1;
+        }
+        while (budget.TrySpendOnHedge(customer, 100, kShare, now)) {
+          load.retries[step] += 1;
+          hedges += 1;
+        }
+        if (step % 100 == 99) {
+          // The reserve.
+          CHECK(budget.TrySpend(customer, 100, now));
+          load.retries[step] += 1;
+        }
+      }
+    }
+    CAPTURE(hosts);
+    const double sends =
+        FleetLoad::Sum(load.sends, 100) + FleetLoad::Sum(load.sends, 200);
+    CHECK(hedges >= 0.06 * sends);
+    CHECK(hedges <= 0.09 * sends * kSteps / 200);
+    for (std::ptrdiff_t end = 100; end <= static_cast<std::ptrdiff_t>(kSteps);
+         ++end) {
+      REQUIRE(FleetLoad::Sum(load.retries, end) <=
+              0.2 * FleetLoad::Sum(load.sends, end) + kSlack);
+    }
+  }
+}
+
 // Guards against callers that are refused although the fleet could retry their
 // calls: hosts with one call a second kept at most one retry and lost the rest.
 TEST_CASE("a host with few calls can use the retries that they earned") {
