Send slow calls of idempotent routes to a second endpoint

Change: CallSends makes a second send when the balancer decides so. The first answer without a server error ends the call; if one send fails, the other continues; a retry is made after both have ended. The losing send is cancelled, or runs on without delivering its answer and ends with its caller's connection, a stop or its deadline. Switched on by proxy.hedge_timeout_factor with the published route.

--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -66,11 +66,15 @@
   std::shared_ptr<ClaimGuard> hold;
 };
 
-CallHandler::CallHandler(ProxyState& state, ProxyLoop& loop, CallOrigin origin)
+CallHandler::CallHandler(ProxyState& state,
+                         ProxyLoop& loop,
+                         CallOrigin origin,
+                         std::shared_ptr<LosingSends> losing_sends)
     : state_(state),
       loop_(loop),
       origin_(origin),
       wake_(loop.context()),
+      losing_sends_(std::move(losing_sends)),
       call_id_(names().callers_assign_call_ids ? std::string() : MakeCallId()) {
 }
 
@@ -164,6 +168,9 @@
   if (offer_.attempt_limit > 0) {
     offer_.attempt_limit = std::max(offer_.attempt_limit - earlier_sends_, 1);
   }
+  may_be_hedged_ = origin_ == CallOrigin::kCaller && losing_sends_ &&
+                   !offer_.is_retry &&
+                   MayBeHedged(*route, state_.options().hedge_timeout_factor);
   thread_local Random random(std::random_device{}());
   const ServiceId& target = ChooseTarget(*route, random);
   service_ = routing_->FindServiceById(target);
@@ -171,7 +178,7 @@
   if (service_ == nullptr || !dispatcher_) {
     co_return CallResult::NotRun(MakeFailure(FailureKind::kNoEndpoint));
   }
-  co_return co_await Send(request);
+  co_return co_await Send();
 }
 
 asio::awaitable<CallResult> CallHandler::RouteByContract(HttpRequest& request) {
@@ -239,7 +246,7 @@
 asio::awaitable<CallResult> CallHandler::SendUnderClaim(HttpRequest& request) {
   const auto key = FromBeast(request[ToBeast(kIdempotencyKeyHeader)]);
   if (offer_.idempotent || key.empty()) {
-    co_return co_await Send(request);
+    co_return co_await Send();
   }
   ClaimRequest claim{contract_->customer, std::string(key), DigestOf(request),
                      offer_.deadline};
@@ -264,7 +271,7 @@
     co_return CallResult{Outcome::kUnknown, std::nullopt, std::move(failure)};
   }
   claim_ = end->hold;
-  CallResult result = co_await Send(request);
+  CallResult result = co_await Send();
   claim_->Settle(result.outcome, ToKeptAnswer(result.answer));
   co_return result;
 }
@@ -276,7 +283,7 @@
                                 : std::string_view(offer_.customer.text());
 }
 
-asio::awaitable<CallResult> CallHandler::Send(HttpRequest& request) {
+asio::awaitable<CallResult> CallHandler::Send() {
   sends_ = std::make_shared<CallSends>(
       state_, loop_,
       AdmittedCall{.origin = origin_,
@@ -285,13 +292,15 @@
                    .routing = routing_,
                    .service = service_,
                    .dispatcher = dispatcher_,
-                   .caller = std::string(CallerOf(request)),
+                   .caller = std::string(CallerOf(*request_)),
                    .attempts = attempt_,
-                   .claim = claim_});
+                   .claim = claim_,
+                   .may_be_hedged = may_be_hedged_,
+                   .losing_sends = losing_sends_});
   if (caller_gone_) {
     sends_->OnCallerGone();
   }
-  co_return co_await sends_->Run(request);
+  co_return co_await sends_->Run(request_);
 }
 
 void CallHandler::Log(const HttpRequest& request,
@@ -349,7 +358,10 @@
   return response;
 }
 
-asio::awaitable<HttpResponse> CallHandler::Handle(HttpRequest request) {
+asio::awaitable<HttpResponse> CallHandler::Handle(HttpRequest received) {
+  // A losing send may need the request for longer than the call.
+  request_ = std::make_shared<HttpRequest>(std::move(received));
+  HttpRequest& request = *request_;
   const InFlightGuard in_flight(state_.calls_in_flight());
   offer_.token = state_.NextToken();
   offer_.arrival = Clock::now();
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -19,7 +19,12 @@
 // shared_ptr until Handle has returned.
 class CallHandler : public std::enable_shared_from_this<CallHandler> {
  public:
-  CallHandler(ProxyState& state, ProxyLoop& loop, CallOrigin origin);
+  // `losing_sends` are those of the caller's connection; without it no call is
+  // hedged.
+  CallHandler(ProxyState& state,
+              ProxyLoop& loop,
+              CallOrigin origin,
+              std::shared_ptr<LosingSends> losing_sends = nullptr);
 
   asio::awaitable<HttpResponse> Handle(HttpRequest request);
 
@@ -38,7 +43,7 @@
   asio::awaitable<CallResult> RouteByHost(HttpRequest& request);
   asio::awaitable<CallResult> SendUnderClaim(HttpRequest& request);
   asio::awaitable<std::shared_ptr<ClaimOutcome>> AwaitClaim(ClaimRequest claim);
-  asio::awaitable<CallResult> Send(HttpRequest& request);
+  asio::awaitable<CallResult> Send();
   // Waits until `wake_` is cancelled or `until` is reached.
   asio::awaitable<void> Sleep(TimePoint until);
   // Removes the headers of a relayed call, and applies what they state.
@@ -58,6 +63,9 @@
   const Contract* contract_ = nullptr;
   const ServiceSpec* service_ = nullptr;
   std::shared_ptr<ServiceDispatcher> dispatcher_;
+  std::shared_ptr<HttpRequest> request_;
+  const std::shared_ptr<LosingSends> losing_sends_;
+  bool may_be_hedged_ = false;
   CallOffer offer_;
   // Chosen by the caller if the protocol lets callers assign call ids.
   CallId call_id_;
--- a/proxy/call_log.cc
+++ b/proxy/call_log.cc
@@ -63,6 +63,17 @@
       basis.hosts, basis.seat.number, basis.seat.number_count, *left_out);
 }
 
+void CallLog::WriteHedge(const HedgeRecord& record, TimePoint now) {
+  if (const std::optional<std::uint64_t> left_out = TakeLine(now)) {
+    spdlog::info(
+        "event=call-hedged call={} first={} second={} in_flight_ms={} "
+        "left_ms={} expected_ms={} left_out={}",
+        record.call.text(), record.first.text(), record.second.text(),
+        ToMs(record.in_flight), ToMs(record.left), ToMs(record.expected),
+        *left_out);
+  }
+}
+
 void CallLog::WriteRelay(const CallId& call,
                          const ServiceId& service,
                          const HostId& peer,
--- a/proxy/call_log.h
+++ b/proxy/call_log.h
@@ -44,6 +44,19 @@
   std::uint64_t routes_version = 0;
 };
 
+// A second send of a call while its first one is in flight.
+struct HedgeRecord {
+  CallId call;
+  // Endpoints of the first and of the second send.
+  EndpointId first;
+  EndpointId second;
+  // Time since the first send, and until the latency objective.
+  Duration in_flight{};
+  Duration left{};
+  // Expected duration of the second send; zero if nothing was estimated.
+  Duration expected{};
+};
+
 // Returns true if the call was refused, failed, sent more than once, or late.
 bool NeedsLogLine(const CallRecord& record);
 
@@ -64,6 +77,7 @@
                      const EndpointId& endpoint,
                      const ColdBasis& basis,
                      TimePoint now);
+  void WriteHedge(const HedgeRecord& record, TimePoint now);
   // Logs that a call is relayed to a peer, because this host has reached no
   // endpoint of its service for `unreachable_for`.
   void WriteRelay(const CallId& call,
--- a/proxy/call_parameters.cc
+++ b/proxy/call_parameters.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "policy/scaled_time.h"
 #include "proxy/header_rewrite.h"
 
 namespace damasktack {
@@ -70,4 +71,9 @@
       std::min(offer.deadline, offer.arrival + route.latency_objective);
 }
 
+bool MayBeHedged(const Route& route, double timeout_factor) {
+  return timeout_factor > 0 && route.idempotent && route.attempt_limit >= 2 &&
+         route.timeout >= Scaled(route.latency_objective, timeout_factor);
+}
+
 }  // namespace damasktack
--- a/proxy/call_parameters.h
+++ b/proxy/call_parameters.h
@@ -35,6 +35,12 @@
                const ProtocolNames& names,
                CallOffer& offer);
 
+// Returns whether calls of the route may get a second send while the first one
+// is in flight. Where the timeout is close to the objective, the timeout itself
+// soon ends a send to an endpoint that does not answer. A factor of 0 allows
+// none.
+bool MayBeHedged(const Route& route, double timeout_factor);
+
 }  // namespace damasktack
 
 #endif  // PROXY_CALL_PARAMETERS_H_
--- a/proxy/call_sends.cc
+++ b/proxy/call_sends.cc
@@ -24,6 +24,13 @@
   return sent.wrote ? sent.result : SendResult::kNotConnected;
 }
 
+// Returns the offer of a send that must not be retried by itself, because
+// another send decides about the call.
+CallOffer WithoutRetry(CallOffer offer) {
+  offer.is_retry = true;
+  return offer;
+}
+
 FailureKind FailureKindOf(const ExchangeResult& sent) {
   const bool is_late = !sent.wrote && sent.result == SendResult::kTimedOut;
   return is_late ? FailureKind::kDeadline : KindOf(EffectiveResult(sent));
@@ -43,8 +50,11 @@
 void CallSends::OnCallerGone() {
   caller_gone_ = true;
   relay_.Cancel();
-  if (exchange_) {
-    exchange_->Cancel();
+  if (first_) {
+    first_->exchange->Cancel();
+    if (hedge_) {
+      hedge_->exchange->Cancel();
+    }
     return;
   }
   if (call_.dispatcher->Withdraw(call_.offer.token, Clock::now())) {
@@ -116,42 +126,198 @@
          call_.dispatcher->Withdraw(call_.offer.token, now);
 }
 
-asio::awaitable<ExchangeResult> CallSends::SendOnce(
-    HttpRequest& request,
-    const Placement& placement) {
+CallSends::SendPtr CallSends::MakeSend(std::shared_ptr<HttpRequest> request,
+                                       const Placement& placement,
+                                       const CallOffer& offer) {
+  const TimePoint now = Clock::now();
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-      call_.offer.deadline - Clock::now());
+      offer.deadline - now);
   ++attempt_;
   ++count_;
   last_endpoint_ = placement.target.id;
-  if (basis_.cold) {
+  if (placement.basis.cold) {
     state_.counters().CountColdSend();
-    state_.call_log().WriteColdSend(call_.id, last_endpoint_, *basis_.cold,
-                                    Clock::now());
+    state_.call_log().WriteColdSend(call_.id, last_endpoint_,
+                                    *placement.basis.cold, now);
   }
-  SetNamed(request, names().deadline, std::to_string(remaining.count()));
-  SetNamed(request, names().attempt, std::to_string(attempt_));
-  SetNamed(request, names().expected_endpoint, placement.target.id.text());
-  exchange_ = std::make_shared<EndpointExchange>(
+  SetNamed(*request, names().deadline, std::to_string(remaining.count()));
+  SetNamed(*request, names().attempt, std::to_string(attempt_));
+  SetNamed(*request, names().expected_endpoint, placement.target.id.text());
+  auto send = std::make_shared<Send>();
+  send->placement = placement;
+  send->offer = offer;
+  send->request = std::move(request);
+  send->began_at = now;
+  send->exchange = std::make_shared<EndpointExchange>(
       loop_.context().get_executor(), loop_.pool(), placement.target,
       state_.options().exchange, names());
+  AvoidSharedConnections(*send->exchange);
   if (call_.claim) {
     call_.claim->MarkSent();
   }
-  if (!call_.offer.idempotent) {
-    exchange_->RequireRecentConnection();
+  if (!offer.idempotent) {
+    send->exchange->RequireRecentConnection();
   }
-  // A named variable, because g++ 12 destroys the temporaries of a conditional
-  // expression inside co_await twice.
-  std::string expected_call;
   if (call_.service->echoes_call) {
-    expected_call = call_.id.text();
+    send->expected_call = call_.id.text();
+  }
+  return send;
+}
+
+void CallSends::AvoidSharedConnections(EndpointExchange& /*exchange*/) const {}
+
+void CallSends::Start(const SendPtr& send) {
+  asio::co_spawn(loop_.context(),
+                 send->exchange->Run(*send->request, send->offer.deadline,
+                                     send->expected_call),
+                 [self = shared_from_this(), send](
+                     const std::exception_ptr& error, ExchangeResult result) {
+                   if (error) {
+                     // The request may have been written.
+                     result.result = SendResult::kBroken;
+                     result.wrote = true;
+                   }
+                   send->result = std::move(result);
+                   self->OnStartedSendEnd(send);
+                 });
+}
+
+void CallSends::OnStartedSendEnd(const SendPtr& send) {
+  if (send->is_losing) {
+    Report(*send, WithoutRetry(send->offer));
+    return;
+  }
+  wake_.cancel();
+}
+
+bool CallSends::IsDecided() const {
+  const bool first_ended = first_->result.has_value();
+  return first_->IsAnswered() || (hedge_ && hedge_->IsAnswered()) ||
+         (first_ended && (!hedge_ || hedge_->result));
+}
+
+asio::awaitable<void> CallSends::AwaitAnswer() {
+  if (!call_.may_be_hedged) {
+    first_->result = co_await first_->exchange->Run(
+        *first_->request, first_->offer.deadline, first_->expected_call);
+    co_return;
+  }
+  Start(first_);
+  std::optional<TimePoint> ask_at = first_->began_at;
+  while (!IsDecided()) {
+    ReportEarlyEnd();
+    if (ask_at && Clock::now() >= *ask_at) {
+      ask_at = TryHedge();
+    }
+    co_await Sleep(ask_at.value_or(TimePoint::max()));
   }
-  ExchangeResult result =
-      co_await exchange_->Run(request, call_.offer.deadline, expected_call);
-  exchange_.reset();
-  at_endpoints_ += result.took;
-  co_return result;
+}
+
+std::optional<TimePoint> CallSends::TryHedge() {
+  // A request that may crash endpoints is sent to one at a time.
+  if (has_hedged_ || FindSendObstacle(*first_->request) ||
+      quarantine_check_.IsSuspected()) {
+    return std::nullopt;
+  }
+  const TimePoint now = Clock::now();
+  HedgeRequest request{.offer = call_.offer,
+                       .first_token = first_->offer.token,
+                       .first = first_->placement.endpoint,
+                       .in_flight = now - first_->began_at,
+                       .sends = count_};
+  request.offer.token = state_.NextToken();
+  request.offer.is_retry = true;
+  const HedgePlacement decision = call_.dispatcher->DecideHedge(request, now);
+  if (!decision.placement) {
+    return decision.ask_again_after
+               ? std::optional(now + *decision.ask_again_after)
+               : std::nullopt;
+  }
+  hedge_ = MakeSend(std::make_shared<HttpRequest>(*first_->request),
+                    *decision.placement, request.offer);
+  state_.call_log().WriteHedge({.call = call_.id,
+                                .first = first_->placement.target.id,
+                                .second = hedge_->placement.target.id,
+                                .in_flight = request.in_flight,
+                                .left = call_.offer.on_time_until - now,
+                                .expected = hedge_->placement.basis.expected},
+                               now);
+  has_hedged_ = true;
+  Start(hedge_);
+  return std::nullopt;
+}
+
+SendEnd CallSends::EndOf(const Send& send) const {
+  const ExchangeResult& sent = *send.result;
+  return SendEnd{.token = send.offer.token,
+                 .endpoint = send.placement.endpoint,
+                 .result = sent.result,
+                 .took = sent.took,
+                 .report = sent.report,
+                 .signals = sent.signals,
+                 .retried_downstream = WasHandledByAnotherHop(sent, names()),
+                 .is_suspected = quarantine_check_.IsSuspected() &&
+                                 !SurelyNotRun(EffectiveResult(sent)),
+                 .sends = count_};
+}
+
+AfterSend CallSends::Report(Send& send, const CallOffer& offer) {
+  if (std::exchange(send.is_reported, true)) {
+    return AfterSend::kDone;
+  }
+  const SendEnd end = EndOf(send);
+  quarantine_check_.OnSendEnd(call_.caller, *send.request,
+                              send.placement.target, *send.result);
+  return call_.dispatcher->Finish(offer, end, MakeOnPlaced(), Clock::now());
+}
+
+void CallSends::ReportEarlyEnd() {
+  for (const SendPtr& it : {first_, hedge_}) {
+    if (it && it->result) {
+      Report(*it, WithoutRetry(it->offer));
+    }
+  }
+}
+
+void CallSends::RecordEnd(const Send& last,
+                          const Send* other,
+                          CallOutcome& outcome) {
+  const SendResult result = EffectiveResult(*last.result);
+  if (!other) {
+    outcome.OnSendEnd(result);
+    return;
+  }
+  const bool is_hedge_last = last.offer.token != call_.offer.token;
+  if (!last.IsAnswered()) {
+    state_.counters().CountHedge(HedgeEnd::kFailed);
+    outcome.OnSendsEnd(EffectiveResult(*other->result), result);
+    return;
+  }
+  state_.counters().CountHedge(is_hedge_last ? HedgeEnd::kWon
+                                             : HedgeEnd::kLost);
+  outcome.OnSendEnd(result);
+}
+
+CallSends::SendPtr CallSends::LastSend() const {
+  if (!hedge_ || first_->IsAnswered()) {
+    return first_;
+  }
+  // If both failed, the one that is not reported yet ended last.
+  return hedge_->IsAnswered() || first_->is_reported ? hedge_ : first_;
+}
+
+void CallSends::Leave(const SendPtr& send) {
+  send->is_losing = true;
+  const Duration left =
+      send->began_at + send->placement.basis.expected - Clock::now();
+  const std::optional<Duration> ends_in =
+      left > Duration::zero() ? std::optional(left) : std::nullopt;
+  if (state_.stopping() || CancelsLosingSend(state_.options().hedge, ends_in)) {
+    state_.counters().CountLosingSendCancelled();
+    send->exchange->Cancel();
+    return;
+  }
+  call_.losing_sends->Add(send->exchange);
 }
 
 asio::awaitable<std::optional<CallResult>> CallSends::Relay(
@@ -189,9 +355,10 @@
   co_return CallResult{relayed.outcome, std::move(relayed.answer), {}};
 }
 
-asio::awaitable<CallResult> CallSends::Run(HttpRequest& request) {
-  const auto depth = ReadNumber(request, names().depth).value_or(0);
-  PrepareForEndpoint(request, call_.id, depth + 1, names());
+asio::awaitable<CallResult> CallSends::Run(
+    std::shared_ptr<HttpRequest> request) {
+  const auto depth = ReadNumber(*request, names().depth).value_or(0);
+  PrepareForEndpoint(*request, call_.id, depth + 1, names());
   CallOutcome outcome(call_.offer.idempotent);
   // Failure of the last send that may have run without an answer.
   std::optional<FailureKind> unknown_failure;
@@ -201,7 +368,6 @@
         known == Outcome::kUnknown ? unknown_failure.value_or(kind) : kind;
     return CallResult{known, std::nullopt, MakeFailure(reported)};
   };
-  int sends = 0;
   const auto refuse = [&](FailureKind kind) {
     CallResult result = give_up(kind);
     if (result.outcome == Outcome::kNotRun) {
@@ -209,7 +375,7 @@
     }
     return result;
   };
-  if (const auto obstacle = FindSendObstacle(request)) {
+  if (const auto obstacle = FindSendObstacle(*request)) {
     co_return refuse(*obstacle);
   }
   call_.dispatcher->Offer(call_.offer, MakeOnPlaced(), Clock::now());
@@ -218,7 +384,7 @@
     if (placement.refusal != Refusal::kNone) {
       outcome.OnRefused();
       if (placement.refusal == Refusal::kUnreachable) {
-        std::optional<CallResult> relayed = co_await Relay(request, outcome);
+        std::optional<CallResult> relayed = co_await Relay(*request, outcome);
         if (relayed) {
           co_return std::move(*relayed);
         }
@@ -227,7 +393,7 @@
       result.failure.SetRetryAfter(placement.retry_after);
       co_return result;
     }
-    if (const auto obstacle = FindSendObstacle(request)) {
+    if (const auto obstacle = FindSendObstacle(*request)) {
       const bool is_returned = ReturnPlacement(placement);
       if (is_returned) {
         outcome.OnRefused();
@@ -236,37 +402,43 @@
       continue;
     }
     outcome.OnPlaced();
-    ExchangeResult sent = co_await SendOnce(request, placement);
-    outcome.OnSendEnd(EffectiveResult(sent));
-    if (!SurelyNotRun(EffectiveResult(sent))) {
-      unknown_failure = KindOf(sent.result);
+    const TimePoint placed_at = Clock::now();
+    first_ = MakeSend(request, placement, call_.offer);
+    co_await AwaitAnswer();
+    const SendPtr last = LastSend();
+    const SendPtr other = last == first_ ? hedge_ : first_;
+    first_.reset();
+    hedge_.reset();
+    at_endpoints_ += Clock::now() - placed_at;
+    last_endpoint_ = last->placement.target.id;
+    RecordEnd(*last, other.get(), outcome);
+    if (other && other->result) {
+      Report(*other, WithoutRetry(other->offer));
+    }
+    // If the call is retried, it waits under the token of this send.
+    call_.offer.token = last->offer.token;
+    const SendEnd end = EndOf(*last);
+    const AfterSend after = Report(*last, call_.offer);
+    if (other && !other->result) {
+      Leave(other);
+    }
+    for (const SendPtr& it : {other, last}) {
+      if (it && it->result && !SurelyNotRun(EffectiveResult(*it->result))) {
+        unknown_failure = KindOf(it->result->result);
+      }
     }
-    const bool is_suspected =
-        quarantine_check_.IsSuspected() && !SurelyNotRun(EffectiveResult(sent));
-    quarantine_check_.OnSendEnd(call_.caller, request, placement.target, sent);
-    const SendEnd end{
-        .token = call_.offer.token,
-        .endpoint = placement.endpoint,
-        .result = sent.result,
-        .took = sent.took,
-        .report = sent.report,
-        .signals = sent.signals,
-        .retried_downstream = WasHandledByAnotherHop(sent, names()),
-        .is_suspected = is_suspected,
-        .sends = ++sends};
-    const AfterSend after = call_.dispatcher->Finish(
-        call_.offer, end, MakeOnPlaced(), Clock::now());
     if (after == AfterSend::kRetry) {
       outcome.OnSentAgain();
       continue;
     }
     outcome.OnGivenUp();
-    const bool is_complete = sent.result == SendResult::kAnswered ||
-                             sent.result == SendResult::kFailed;
-    if (is_complete) {
-      co_return CallResult{outcome.outcome(), std::move(sent.answer), {}};
+    for (const SendPtr& it : {last, other}) {
+      if (it && it->HasAnswerForCaller()) {
+        co_return CallResult{
+            outcome.outcome(), std::move(it->result->answer), {}};
+      }
     }
-    CallResult result = give_up(FailureKindOf(sent));
+    CallResult result = give_up(FailureKindOf(*last->result));
     if (result.outcome == Outcome::kNotRun) {
       result.failure.SetRetryAfter(
           call_.dispatcher->RetryAfterSend(call_.offer, end, Clock::now()));
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -125,6 +125,7 @@
       it->handler->OnCallerGone();
     }
   }
+  losing_sends_->Close();
   changed_.cancel();
 }
 
@@ -140,6 +141,7 @@
 }
 
 void CallerSession::OnStopping() {
+  losing_sends_->Close();
   if (is_idle_) {
     ArmTimer(std::min(kIdleWhileStopping, state_.caller_limits().idle_timeout));
   }
@@ -325,7 +327,8 @@
   if (lost_ || is_closing_) {
     co_return false;
   }
-  entry->handler = std::make_shared<CallHandler>(state_, loop_, origin_);
+  entry->handler =
+      std::make_shared<CallHandler>(state_, loop_, origin_, losing_sends_);
   is_reading_ = false;
   pending_.push_back(entry);
   asio::co_spawn(socket_.get_executor(), Answer(entry, std::move(request)),
@@ -457,6 +460,7 @@
           asio::redirect_error(asio::use_awaitable, ec));
     }
   }
+  losing_sends_->Close();
   co_await Linger();
 }
 
--- a/proxy/caller_session.h
+++ b/proxy/caller_session.h
@@ -78,6 +78,8 @@
   Tcp::socket socket_;
   ProxyState& state_;
   ProxyLoop& loop_;
+  const std::shared_ptr<LosingSends> losing_sends_ =
+      std::make_shared<LosingSends>();
   const CallOrigin origin_;
   // Timeouts for reading and for writing.
   asio::steady_timer timer_;
--- a/proxy/proxy_counters.cc
+++ b/proxy/proxy_counters.cc
@@ -1,9 +1,17 @@
 #include "proxy/proxy_counters.h"
 
 #include <sstream>
+#include <string_view>
 
 namespace damasktack {
 
+namespace {
+
+constexpr std::array<std::string_view, kHedgeEndCount> kHedgeEndNames = {
+    "won", "lost", "failed"};
+
+}  // namespace
+
 std::string ProxyCounters::Render(bool stopping) const {
   std::ostringstream out;
   out << "# TYPE damasktack_caller_connections gauge\n"
@@ -14,6 +22,9 @@
       << "damasktack_stopping " << (stopping ? 1 : 0) << "\n"
       << "# TYPE damasktack_cold_sends_total counter\n"
       << "damasktack_cold_sends_total " << cold_sends_ << "\n"
+      << "# TYPE damasktack_losing_sends_cancelled_total counter\n"
+      << "damasktack_losing_sends_cancelled_total " << losing_sends_cancelled_
+      << "\n"
       << "# TYPE damasktack_relays_taken_total counter\n"
       << "damasktack_relays_taken_total " << relays_taken_ << "\n"
       << "# TYPE damasktack_relayed_in_flight gauge\n"
@@ -23,6 +34,11 @@
     out << "damasktack_relays_total{end=\""
         << ToString(static_cast<RelayEnd>(n)) << "\"} " << relays_[n] << "\n";
   }
+  out << "# TYPE damasktack_hedges_total counter\n";
+  for (std::size_t n = 0; n < hedges_.size(); ++n) {
+    out << "damasktack_hedges_total{end=\"" << kHedgeEndNames[n] << "\"} "
+        << hedges_[n] << "\n";
+  }
   out << "# TYPE damasktack_failures_total counter\n";
   for (std::size_t n = 0; n < failures_.size(); ++n) {
     out << "damasktack_failures_total{kind=\""
--- a/proxy/proxy_counters.h
+++ b/proxy/proxy_counters.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -11,6 +12,17 @@
 
 namespace damasktack {
 
+// How a call with two sends in flight ended.
+enum class HedgeEnd : std::uint8_t {
+  // The second send was answered first.
+  kWon,
+  // The first send was answered first.
+  kLost,
+  // Neither was answered.
+  kFailed,
+};
+inline constexpr std::size_t kHedgeEndCount = 3;
+
 // Counters for the caller side of one daemon. Thread-safe.
 class ProxyCounters {
  public:
@@ -24,6 +36,16 @@
   // Counts a call that is sent to an endpoint considered cold.
   void CountColdSend() { ++cold_sends_; }
 
+  // Counts a call with two sends in flight.
+  void CountHedge(HedgeEnd end) { ++hedges_[static_cast<std::size_t>(end)]; }
+  std::uint64_t hedges(HedgeEnd end) const {
+    return hedges_[static_cast<std::size_t>(end)];
+  }
+  void CountLosingSendCancelled() { ++losing_sends_cancelled_; }
+  std::uint64_t losing_sends_cancelled() const {
+    return losing_sends_cancelled_;
+  }
+
   // Counts a call that was offered to a peer.
   void CountRelay(RelayEnd end) { ++relays_[static_cast<std::size_t>(end)]; }
   // Counts a call that a peer relayed to this host.
@@ -41,6 +63,8 @@
  private:
   std::array<std::atomic<std::uint64_t>, kFailureKindCount> failures_{};
   std::atomic<std::uint64_t> cold_sends_ = 0;
+  std::array<std::atomic<std::uint64_t>, kHedgeEndCount> hedges_{};
+  std::atomic<std::uint64_t> losing_sends_cancelled_ = 0;
   std::array<std::atomic<std::uint64_t>, kRelayEndCount> relays_{};
   std::atomic<std::uint64_t> relays_taken_ = 0;
   std::atomic<std::int64_t> relayed_in_flight_ = 0;
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -64,10 +64,14 @@
 
 std::unique_ptr<Balancer> ProxyState::MakeBalancer() const {
   if (options_.measures_before_sending) {
-    return std::make_unique<MeasuredBalancer>(options_.measured,
+    MeasuredBalancerOptions options = options_.measured;
+    options.hedge = options_.hedge;
+    return std::make_unique<MeasuredBalancer>(std::move(options),
                                               std::random_device()());
   }
-  return std::make_unique<ServiceBalancer>(options_.balancer,
+  BalancerOptions options = options_.balancer;
+  options.hedge = options_.hedge;
+  return std::make_unique<ServiceBalancer>(std::move(options),
                                            std::random_device()());
 }
 
@@ -147,15 +151,18 @@
       << "damasktack_call_lines_dropped_total " << call_log_.dropped() << "\n"
       << "# TYPE damasktack_probes_total counter\n"
       << "# TYPE damasktack_probe_bytes_total counter\n"
+      << "# TYPE damasktack_hedges_withheld_total counter\n"
       << "# TYPE damasktack_calls_waiting gauge\n"
       << "# TYPE damasktack_service_reachable gauge\n";
   for (const auto& [id, dispatcher] : dispatchers()) {
     const std::string label = "{service=\"" + id.text() + "\"} ";
+    const BalancerStatus status = dispatcher->Status(now);
     const ProbeCost cost = dispatcher->probe_cost();
     out << "damasktack_probes_total" << label << cost.probes << "\n"
         << "damasktack_probe_bytes_total" << label << cost.bytes << "\n"
-        << "damasktack_calls_waiting" << label
-        << dispatcher->Status(now).waiting << "\n"
+        << "damasktack_hedges_withheld_total" << label << status.hedges_withheld
+        << "\n"
+        << "damasktack_calls_waiting" << label << status.waiting << "\n"
         << "damasktack_service_reachable" << label << dispatcher->IsReachable()
         << "\n";
   }
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -56,6 +56,7 @@
   // A call of an idempotent route may be hedged if the route's timeout is at
   // least this multiple of its latency objective; 0 disables hedging.
   double hedge_timeout_factor = 0;
+  HedgeOptions hedge;
   // Whether less urgent calls are refused first while a service that routes of
   // several urgencies share is short of free slots.
   bool urgency_admission = false;
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -118,6 +118,29 @@
   return after;
 }
 
+HedgePlacement ServiceDispatcher::DecideHedge(const HedgeRequest& request,
+                                              TimePoint now) {
+  HedgePlacement out;
+  bool has_probes = false;
+  {
+    const std::lock_guard lock(mutex_);
+    if (RefusesCalls()) {
+      return out;
+    }
+    const HedgeDecision decision = balancer_->DecideHedge(request, now);
+    out.ask_again_after = decision.ask_again_after;
+    has_probes = decision.has_probes;
+    if (const auto& it = decision.dispatch) {
+      out.placement = Placement{
+          Refusal::kNone, it->endpoint, TargetOf(it->endpoint), {}, it->basis};
+    }
+  }
+  if (has_probes && on_waiting_) {
+    on_waiting_();
+  }
+  return out;
+}
+
 Duration ServiceDispatcher::RetryAfterSend(const CallOffer& offer,
                                            const SendEnd& end,
                                            TimePoint now) {
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -27,6 +27,12 @@
   DecisionBasis basis{};
 };
 
+// Decision on a second send of a call. Both are null if there is none.
+struct HedgePlacement {
+  std::optional<Placement> placement;
+  std::optional<Duration> ask_again_after;
+};
+
 // An endpoint that must be probed now.
 struct ProbeRequest {
   EndpointIndex endpoint = 0;
@@ -96,6 +102,8 @@
                    const SendEnd& end,
                    OnPlaced on_placed,
                    TimePoint now);
+  // See Balancer::DecideHedge.
+  HedgePlacement DecideHedge(const HedgeRequest& request, TimePoint now);
   // Returns the time after which a caller whose call did not run may retry;
   // zero means the default of the failure.
   Duration RetryAfterSend(const CallOffer& offer,
