--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -133,6 +133,7 @@
       it->handler->OnCallerGone();
     }
   }
+  losing_sends_->Close();
   changed_.cancel();
 }
 
@@ -163,6 +164,7 @@
 }
 
 void CallerSession::OnStopping() {
+  losing_sends_->Close();
   if (is_idle_) {
     ArmTimer(std::min(StopSchedule::kMinSilence,
                       state_.caller_limits().idle_timeout));
@@ -383,7 +385,8 @@
   if (lost_ || is_closing_) {
     co_return false;
   }
-  entry->handler = std::make_shared<CallHandler>(state_, loop_, origin_);
+  entry->handler =
+      std::make_shared<CallHandler>(state_, loop_, origin_, losing_sends_);
   is_reading_ = false;
   has_read_ = false;
   pending_.push_back(entry);
@@ -530,6 +533,7 @@
           asio::redirect_error(asio::use_awaitable, ec));
     }
   }
+  losing_sends_->Close();
   co_await Linger();
 }
 
