Place calls by slack while a service is short of capacity

Cause: a call that would be on time on a slow endpoint got the best endpoint found, also while calls of a tighter objective to the same service needed it. Waits for probes and for a usable endpoint were the same for objectives of 150 ms and of 1,500 ms.

Change: policy/slack_placement decides, from the share of recently probed endpoints with a free slot at the usual pace, whether capacity is short, and then chooses the slowest endpoint where the call is on time with its margin. A call that cannot be on time takes a slot of a slow endpoint or is refused. Waiting calls of one urgency and customer are ordered by the latest time at which they must start (both balancers), and waits follow the slack. Metrics and a key of the line call-ended say what it did. Off by default (proxy.slack_placement), and only for services whose routes have different objectives.

--- a/policy/admission_queue.cc
+++ b/policy/admission_queue.cc
@@ -95,7 +95,7 @@
     return;
   }
   UrgencyClass& urgency_class = ClassOf(offer.urgency);
-  urgency_class.queue.Push(offer.customer, offer.share, offer.arrival,
+  urgency_class.queue.Push(offer.customer, offer.share, call.QueuedAt(),
                            offer.token);
   urgency_class.deadlines.insert(Deadline{offer.deadline, offer.token});
   const CallToken token = offer.token;
@@ -108,7 +108,7 @@
   }
   const WaitingCall call = Extract(token);
   UrgencyClass& urgency_class = ClassOf(call.offer.urgency);
-  urgency_class.queue.Remove(call.offer.customer, call.offer.arrival, token);
+  urgency_class.queue.Remove(call.offer.customer, call.QueuedAt(), token);
   if (urgency_class.queue.empty()) {
     urgency_class.credit = 0;
   }
--- a/policy/balancer.h
+++ b/policy/balancer.h
@@ -70,6 +70,11 @@
   std::array<std::size_t, kUrgencyCount> waiting_by_urgency{};
   std::uint64_t retries_granted = 0;
   std::uint64_t retries_withheld = 0;
+  // Calls that SlackPlacement placed or refused, and whether it takes the
+  // service for short of capacity.
+  std::uint64_t slack_placements = 0;
+  std::uint64_t slack_refusals = 0;
+  bool is_capacity_short = false;
 };
 
 // Makes all decisions for one service on one host: which calls wait, which
--- a/policy/call_offer.h
+++ b/policy/call_offer.h
@@ -1,6 +1,7 @@
 #ifndef POLICY_CALL_OFFER_H_
 #define POLICY_CALL_OFFER_H_
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -35,6 +36,9 @@
   int attempt_limit = 0;
   // Time that the caller allowed for the call when it arrived here.
   Duration asked{};
+  // Timeout of the call's route as a multiple of its latency objective; 0
+  // without a route.
+  double timeout_factor = 0;
   // The service objective: an answer after this time is of little use to the
   // caller.
   TimePoint on_time_until;
@@ -42,11 +46,28 @@
   TimePoint deadline;
 };
 
+// Position among the waiting calls of one urgency and customer; the lowest goes
+// first.
+struct QueueRank {
+  // Calls of callers that return after a refusal go first.
+  bool is_first_attempt = false;
+  // Arrival of the call, or the latest time at which it must start.
+  TimePoint at;
+
+  auto operator<=>(const QueueRank&) const = default;
+};
+
 // A call in the queue.
 struct WaitingCall {
   CallOffer offer;
   // Endpoint of the send that has just failed; avoided while there is another.
   std::optional<EndpointIndex> avoid;
+  // Null orders the call by its arrival.
+  std::optional<QueueRank> rank = std::nullopt;
+
+  QueueRank QueuedAt() const {
+    return rank.value_or(QueueRank{false, offer.arrival});
+  }
 };
 
 // The data behind a decision on a call, for its log line.
@@ -58,6 +79,9 @@
   Duration report_age{-1};
   // Set if the call goes to a cold endpoint whose rate of calls is limited.
   std::optional<ColdBasis> cold = std::nullopt;
+  // Fraction of the probed endpoints that had a free slot at the usual pace;
+  // set if SlackPlacement made the decision.
+  std::optional<double> good_share = std::nullopt;
 
   bool operator==(const DecisionBasis&) const = default;
 };
--- a/policy/fair_queue.cc
+++ b/policy/fair_queue.cc
@@ -46,7 +46,7 @@
 
 void FairQueue::Push(const CustomerId& customer,
                      std::int64_t share,
-                     TimePoint arrival,
+                     const QueueRank& rank,
                      CallToken token) {
   Flow& flow = flows_[customer];
   Unlink(flow);
@@ -58,17 +58,17 @@
     flow.tag = std::max(flow.tag, virtual_time_);
     flow.order = next_order_++;
   }
-  flow.calls.insert(QueuedCall{arrival, token});
+  flow.calls.insert(QueuedCall{rank, token});
   Link(flow);
   ++size_;
 }
 
 void FairQueue::Remove(const CustomerId& customer,
-                       TimePoint arrival,
+                       const QueueRank& rank,
                        CallToken token) {
   Flow& flow = flows_.at(customer);
   Unlink(flow);
-  flow.calls.erase(QueuedCall{arrival, token});
+  flow.calls.erase(QueuedCall{rank, token});
   Link(flow);
   --size_;
   RemoveIdle();
--- a/policy/fair_queue.h
+++ b/policy/fair_queue.h
@@ -11,22 +11,25 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "policy/call.h"
+#include "policy/call_offer.h"
 
 namespace damasktack {
 
 // Waiting calls of one urgency, in weighted fair order by customer share. This
 // is start-time fair queueing, in which a call costs the mean slot time of its
-// customer's calls. Calls of one customer are ordered by arrival. Every
+// customer's calls. Calls of one customer are ordered by their rank. Every
 // operation is O(log n).
 class FairQueue {
  public:
   // `share` must be positive; it applies to the customer from now on.
   void Push(const CustomerId& customer,
             std::int64_t share,
-            TimePoint arrival,
+            const QueueRank& rank,
             CallToken token);
-  // The call must be in this queue with this customer and arrival.
-  void Remove(const CustomerId& customer, TimePoint arrival, CallToken token);
+  // The call must be in this queue with this customer and rank.
+  void Remove(const CustomerId& customer,
+              const QueueRank& rank,
+              CallToken token);
 
   // Returns the next call; the queue must not be empty.
   CallToken Head() const;
@@ -55,7 +58,7 @@
 
  private:
   struct QueuedCall {
-    TimePoint arrival;
+    QueueRank rank;
     CallToken token = 0;
 
     auto operator<=>(const QueuedCall&) const = default;
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -39,6 +39,8 @@
   retries_.SetFleet(hosts, service.endpoints.size(), now);
   probes_.Share(service.endpoints.size(), hosts, now);
   endpoints_.SetService(service, hosts, now);
+  slack_.SetEnabled(options_.slack_placement &&
+                    service.route_mix.has_mixed_objectives);
 }
 
 std::optional<MeasuredCandidate> MeasuredBalancer::BestFreshOnTime(
@@ -73,17 +75,11 @@
       call, MeasuredEndpoints::CandidateSet::kAll, now, random_);
   UpdateUnavailableSince(call, best.has_value(), now);
   if (!best) {
-    if (!endpoints_.HasEndpointInRegionsOf(call)) {
-      return {Step::kRefuse, best};
-    }
-    const bool awaits_probes = probes_.HasPendingProbes(now) ||
-                               probes_.RequestProbes(call, now, random_);
-    const TimePoint since =
-        std::min(unavailable_since_.value_or(now), call.offer.arrival);
-    const bool has_timed_out =
-        !awaits_probes && (IsUnavailableTooLong(call, now) ||
-                           now - since >= options_.no_endpoint_timeout);
-    return {has_timed_out ? Step::kRefuse : Step::kWait, best};
+    return {DecideUnavailable(call, now), best};
+  }
+  if (const std::optional<Decision> by_slack =
+          DecideBySlack(call, *best, endpoints_.usual_time(), now)) {
+    return *by_slack;
   }
   if (best->is_good) {
     return {Step::kSend, best};
@@ -92,20 +88,92 @@
           BestFreshOnTime(call, now)) {
     return {Step::kSend, best_fresh};
   }
-  if (probes_.HasPendingProbes(now) ||
-      probes_.RequestProbes(call, now, random_)) {
+  if (AwaitsProbes(call, now)) {
     return {Step::kWait, best};
   }
   if (IsOnTime(call, *best, now)) {
     return {Step::kSend, best};
   }
+  if (const std::optional<Decision> by_slack =
+          DecideBySlack(call, *best, best->finish, now)) {
+    return *by_slack;
+  }
   const bool may_finish_late = MayFinishLate(call, *best, now);
   return {may_finish_late ? Step::kSend : Step::kRefuse, best};
 }
 
+bool MeasuredBalancer::AwaitsProbes(const WaitingCall& call, TimePoint now) {
+  return probes_.HasPendingProbes(WaitsOf(call, now).probes, now) ||
+         probes_.RequestProbes(call, now, random_);
+}
+
+MeasuredBalancer::Step MeasuredBalancer::DecideUnavailable(
+    const WaitingCall& call,
+    TimePoint now) {
+  if (!endpoints_.HasEndpointInRegionsOf(call)) {
+    return Step::kRefuse;
+  }
+  const TimePoint since =
+      std::min(unavailable_since_.value_or(now), call.offer.arrival);
+  const bool has_timed_out =
+      !AwaitsProbes(call, now) && (IsUnavailableTooLong(call, now) ||
+                                   now - since >= WaitsOf(call, now).endpoint);
+  return has_timed_out ? Step::kRefuse : Step::kWait;
+}
+
+std::optional<MeasuredBalancer::Decision> MeasuredBalancer::DecideBySlack(
+    const WaitingCall& call,
+    const MeasuredCandidate& best,
+    Duration least,
+    TimePoint now) const {
+  // Endpoints with a stated limit take the calls that the limit allows.
+  if (!slack_.IsShort(now) || endpoints_.RateLimit(best.index)) {
+    return std::nullopt;
+  }
+  const std::vector<MeasuredCandidate> fresh =
+      endpoints_.FreshCandidates(call, now);
+  std::vector<SlackCandidate> candidates;
+  candidates.reserve(fresh.size());
+  for (const MeasuredCandidate& it : fresh) {
+    candidates.push_back({it.finish, it.pace, it.is_good, it.HasFreeSlot(),
+                          endpoints_.spec(it.index).zone != options_.zone});
+  }
+  const SlackPlacement::Decision decision = SlackPlacement::Choose(
+      candidates, least,
+      {call.offer.on_time_until - now, call.offer.deadline - now,
+       options_.on_time_margin});
+  switch (decision.choice) {
+    case SlackPlacement::Choice::kUsual:
+      return std::nullopt;
+    case SlackPlacement::Choice::kCandidate:
+      return Decision{Step::kSend, fresh[decision.candidate], true};
+    case SlackPlacement::Choice::kNone:
+      break;
+  }
+  return Decision{Step::kRefuse, best, true};
+}
+
+TimePoint MeasuredBalancer::MustStartBy(const CallOffer& offer) const {
+  return offer.on_time_until -
+         Scaled(endpoints_.usual_time(), options_.on_time_margin);
+}
+
+// While enough endpoints are free, the wait for probes is the usual one.
+SlackWaits MeasuredBalancer::WaitsOf(const WaitingCall& call,
+                                     TimePoint now) const {
+  SlackWaits waits{options_.max_probe_timeout, options_.no_endpoint_timeout};
+  if (slack_.is_enabled()) {
+    const SlackWaits by_slack = SlackPlacement::WaitsFor(
+        MustStartBy(call.offer) - call.offer.arrival, options_.probe_timeout);
+    waits.endpoint = by_slack.endpoint;
+    waits.probes = slack_.IsShort(now) ? by_slack.probes : waits.probes;
+  }
+  return waits;
+}
+
 bool MeasuredBalancer::IsUnavailableTooLong(const WaitingCall& call,
                                             TimePoint now) const {
-  const TimePoint timeout_at = now + options_.no_endpoint_timeout;
+  const TimePoint timeout_at = now + WaitsOf(call, now).endpoint;
   const auto available_at = endpoints_.AvailableAt(call, now, timeout_at);
   return available_at && *available_at >= timeout_at;
 }
@@ -119,6 +187,9 @@
 
 void MeasuredBalancer::Admit(WaitingCall call, TimePoint now, Decisions& out) {
   endpoints_.GuessUsualTime(call.offer);
+  if (slack_.is_enabled()) {
+    call.rank = {false, MustStartBy(call.offer)};
+  }
   queue_.Add(std::move(call), out.rejections);
   ProcessQueue(now, out);
 }
@@ -139,17 +210,19 @@
 bool MeasuredBalancer::ProcessOne(TimePoint now, Decisions& out) {
   for (const Urgency urgency : queue_.Order()) {
     const WaitingCall& head = *queue_.Head(urgency);
-    const auto [step, best] = Decide(head, now);
-    if (step == Step::kSend) {
-      Send(queue_.Take(urgency), *best, now, out);
+    const Decision decision = Decide(head, now);
+    if (decision.step == Step::kSend) {
+      Send(queue_.Take(urgency), decision, now, out);
       return true;
     }
-    if (step == Step::kRefuse) {
+    if (decision.step == Step::kRefuse) {
       const WaitingCall call = head;
       queue_.Remove(call.offer.token);
+      slack_refusals_ += decision.is_by_slack ? 1 : 0;
       out.rejections.push_back(
-          {call.offer.token, best ? Refusal::kShed : Refusal::kNoEndpoint,
-           RetryAfter(call, best, now), BasisOf(best, now)});
+          {call.offer.token,
+           decision.best ? Refusal::kShed : Refusal::kNoEndpoint,
+           RetryAfter(call, decision.best, now), BasisOf(decision, now)});
       return true;
     }
   }
@@ -170,22 +243,26 @@
   return std::min(wait, kMaxRetryAfter);
 }
 
-DecisionBasis MeasuredBalancer::BasisOf(
-    const std::optional<MeasuredCandidate>& best,
-    TimePoint now) const {
+DecisionBasis MeasuredBalancer::BasisOf(const Decision& decision,
+                                        TimePoint now) const {
+  const std::optional<MeasuredCandidate>& best = decision.best;
   if (!best) {
     return {};
   }
   return {best->finish, endpoints_.measure(best->index).ReportAge(now),
-          endpoints_.ColdBasisOf(*best, now)};
+          endpoints_.ColdBasisOf(*best, now),
+          decision.is_by_slack ? slack_.GoodShare(now) : std::nullopt};
 }
 
 void MeasuredBalancer::Send(const WaitingCall& call,
-                            const MeasuredCandidate& best,
+                            const Decision& decision,
                             TimePoint now,
                             Decisions& out) {
-  out.dispatches.push_back({call.offer.token, best.index, BasisOf(best, now)});
+  const MeasuredCandidate& best = *decision.best;
+  out.dispatches.push_back(
+      {call.offer.token, best.index, BasisOf(decision, now)});
   endpoints_.OnSend(call.offer.token, best, now);
+  slack_placements_ += decision.is_by_slack ? 1 : 0;
   if (!call.avoid) {
     retries_.OnFirstSend(call.offer.customer, call.offer.retry_percent, now);
   }
@@ -257,6 +334,9 @@
                               TimePoint now,
                               Decisions& out) {
   endpoints_.OnReport(endpoint, report, now);
+  if (slack_.is_enabled()) {
+    slack_.OnProbeReport(endpoints_.Evaluate(endpoint, now).is_good, now);
+  }
   ProcessQueue(now, out);
 }
 
@@ -303,6 +383,9 @@
   }
   status.retries_granted = retries_granted_;
   status.retries_withheld = retries_withheld_;
+  status.slack_placements = slack_placements_;
+  status.slack_refusals = slack_refusals_;
+  status.is_capacity_short = slack_.IsShort(now);
   return status;
 }
 
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -12,6 +12,7 @@
 #include "policy/probe_planner.h"
 #include "policy/retry_budget.h"
 #include "policy/returning_caller_detector.h"
+#include "policy/slack_placement.h"
 
 namespace damasktack {
 
@@ -99,6 +100,7 @@
   struct Decision {
     Step step = Step::kWait;
     std::optional<MeasuredCandidate> best;
+    bool is_by_slack = false;
   };
 
   // Returns the best endpoint among enough fresh reports, if the call is on
@@ -106,6 +108,23 @@
   std::optional<MeasuredCandidate> BestFreshOnTime(const WaitingCall& call,
                                                    TimePoint now);
   Decision Decide(const WaitingCall& call, TimePoint now);
+  // What to do with a call for which no endpoint is available.
+  Step DecideUnavailable(const WaitingCall& call, TimePoint now);
+  // Returns whether the decision on the call waits for probes. Requests further
+  // ones if none are pending.
+  bool AwaitsProbes(const WaitingCall& call, TimePoint now);
+  // Returns the decision that SlackPlacement makes while capacity is short;
+  // null if it makes none. `least` is the shortest time that the call may take.
+  std::optional<Decision> DecideBySlack(const WaitingCall& call,
+                                        const MeasuredCandidate& best,
+                                        Duration least,
+                                        TimePoint now) const;
+  // Returns how long the call may wait. This follows its objective if the
+  // service's routes have different objectives.
+  SlackWaits WaitsOf(const WaitingCall& call, TimePoint now) const;
+  // Returns the latest time at which the call must start to be on time with the
+  // margin.
+  TimePoint MustStartBy(const CallOffer& offer) const;
   bool IsOnTime(const WaitingCall& call,
                 const MeasuredCandidate& best,
                 TimePoint now) const;
@@ -116,11 +135,10 @@
   void ProcessQueue(TimePoint now, Decisions& out);
   bool ProcessOne(TimePoint now, Decisions& out);
   void Send(const WaitingCall& call,
-            const MeasuredCandidate& best,
+            const Decision& decision,
             TimePoint now,
             Decisions& out);
-  DecisionBasis BasisOf(const std::optional<MeasuredCandidate>& best,
-                        TimePoint now) const;
+  DecisionBasis BasisOf(const Decision& decision, TimePoint now) const;
   // Whether the stated limits keep every endpoint from accepting the call for
   // longer than a call may wait.
   bool IsUnavailableTooLong(const WaitingCall& call, TimePoint now) const;
@@ -140,10 +158,13 @@
   AdmissionQueue queue_;
   RetryBudget retries_;
   ReturningCallerDetector returning_callers_;
+  SlackPlacement slack_;
   // Time since which no endpoint has been able to take a call.
   std::optional<TimePoint> unavailable_since_;
   std::uint64_t retries_granted_ = 0;
   std::uint64_t retries_withheld_ = 0;
+  std::uint64_t slack_placements_ = 0;
+  std::uint64_t slack_refusals_ = 0;
 };
 
 }  // namespace damasktack
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -36,6 +36,9 @@
 // A failed probe within this time makes an endpoint the last choice.
 constexpr Duration kProbeFailureHoldTime = std::chrono::milliseconds(800);
 constexpr double kProbeFailureCostFactor = 8;
+// Penalty up to which an endpoint counts as reliable: it refuses one call in
+// eighty more than the others.
+constexpr double kReliablePenalty = 0.1;
 // Number of answers to calls and probes without any report after which a
 // service is assumed to send none.
 constexpr std::uint64_t kAnswersWithoutReport = 8;
@@ -137,6 +140,12 @@
          std::ranges::find(allowed, specs_[index].region) != allowed.end();
 }
 
+bool MeasuredEndpoints::IsEligible(const WaitingCall& call,
+                                   EndpointIndex index) const {
+  const bool is_avoided = usable().size() > 1 && call.avoid == index;
+  return !is_avoided && IsAllowed(call, index);
+}
+
 bool MeasuredEndpoints::HasEndpointInRegionsOf(const WaitingCall& call) const {
   return call.offer.allowed_regions.empty() ||
          std::ranges::any_of(
@@ -272,8 +281,7 @@
   for (std::size_t n = 0; n < usable.size(); ++n) {
     const EndpointIndex index = usable[at];
     at = at + 1 == usable.size() ? 0 : at + 1;
-    const bool is_avoided = usable.size() > 1 && call.avoid == index;
-    if (is_avoided || !IsAllowed(call, index)) {
+    if (!IsEligible(call, index)) {
       continue;
     }
     MeasuredCandidate it = Evaluate(index, now);
@@ -295,6 +303,30 @@
   return best;
 }
 
+bool MeasuredEndpoints::IsReliable(EndpointIndex index, TimePoint now) const {
+  const EndpointRecord& record = roster_.records()[index];
+  return record.state == EndpointState::kServing &&
+         record.penalty <= kReliablePenalty &&
+         !measures_[index].FailedSince(now - kProbeFailureHoldTime);
+}
+
+std::vector<MeasuredCandidate> MeasuredEndpoints::FreshCandidates(
+    const WaitingCall& call,
+    TimePoint now) const {
+  std::vector<MeasuredCandidate> list;
+  for (const EndpointIndex index : usable()) {
+    if (!IsFresh(index, now) || !IsReliable(index, now) ||
+        !IsEligible(call, index)) {
+      continue;
+    }
+    const MeasuredCandidate it = Evaluate(index, now);
+    if (CanAcceptCall(it, now)) {
+      list.push_back(it);
+    }
+  }
+  return list;
+}
+
 MeasuredCandidate MeasuredEndpoints::EvaluateForProbe(EndpointIndex index,
                                                       TimePoint now) const {
   MeasuredCandidate it = Evaluate(index, now);
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -101,6 +101,10 @@
                                         CandidateSet candidates,
                                         TimePoint now,
                                         Random& random);
+  // Returns the endpoints with a fresh report that can accept the call and
+  // serve without signs of failure.
+  std::vector<MeasuredCandidate> FreshCandidates(const WaitingCall& call,
+                                                 TimePoint now) const;
   // Returns whether a usable endpoint is in a region where the call may run;
   // true if it may run anywhere.
   bool HasEndpointInRegionsOf(const WaitingCall& call) const;
@@ -167,6 +171,11 @@
   void ApplySpec(const EndpointSpec& spec, bool assume_warm, TimePoint now);
   // Adds an endpoint that is not listed yet and returns its index.
   EndpointIndex Add(const EndpointSpec& spec, bool assume_warm, TimePoint now);
+  // Whether the call may be sent to the endpoint: it is in a region where the
+  // call may run, and is not the one that has just failed.
+  bool IsEligible(const WaitingCall& call, EndpointIndex index) const;
+  // Whether the endpoint serves and refuses no more calls than the others.
+  bool IsReliable(EndpointIndex index, TimePoint now) const;
   // Whether the call may run in the endpoint's region.
   bool IsAllowed(const WaitingCall& call, EndpointIndex index) const;
   bool CanAcceptCall(const MeasuredCandidate& candidate, TimePoint now) const;
--- a/policy/measured_options.h
+++ b/policy/measured_options.h
@@ -65,6 +65,9 @@
   double on_time_margin = 1.5;
   EndpointPreferenceOptions preference;
   ColdBoundOptions cold;
+  // See ProxyOptions.
+  bool slack_placement = false;
+  double return_pacing_factor = 0;
   // Time for which calls wait for a usable endpoint before they are refused.
   Duration no_endpoint_timeout = std::chrono::milliseconds(150);
 };
--- a/policy/probe_planner.cc
+++ b/policy/probe_planner.cc
@@ -23,11 +23,11 @@
                     now);
 }
 
-bool ProbePlanner::HasPendingProbes(TimePoint now) const {
+bool ProbePlanner::HasPendingProbes(Duration max_timeout, TimePoint now) const {
   if (!requested_probes_.empty()) {
     return true;
   }
-  const Duration timeout = ProbeTimeout(now);
+  const Duration timeout = ProbeTimeout(max_timeout, now);
   return std::ranges::any_of(endpoints_.usable(), [&](EndpointIndex it) {
     return endpoints_.measure(it).IsPending(now, timeout);
   });
@@ -42,7 +42,7 @@
 // Without the extension, a host that has just started or is slow would probe
 // endpoints of all zones for one call while the answers to its first probes are
 // still unread.
-Duration ProbePlanner::ProbeTimeout(TimePoint now) const {
+Duration ProbePlanner::ProbeTimeout(Duration max_timeout, TimePoint now) const {
   const auto overdue =
       std::ranges::count_if(endpoints_.usable(), [&](EndpointIndex it) {
         const EndpointMeasure& measure = endpoints_.measure(it);
@@ -52,8 +52,7 @@
   const auto looks =
       overdue / static_cast<std::ptrdiff_t>(
                     std::max<std::size_t>(options_.first_probes, 1));
-  return std::min<Duration>(options_.probe_timeout * (1 + looks),
-                            options_.max_probe_timeout);
+  return std::min<Duration>(options_.probe_timeout * (1 + looks), max_timeout);
 }
 
 std::vector<MeasuredCandidate> ProbePlanner::ProbeCandidates(
--- a/policy/probe_planner.h
+++ b/policy/probe_planner.h
@@ -27,8 +27,9 @@
   // Sets this host's share of the fleet's probe budget for these endpoints.
   void Share(std::size_t endpoints, std::int64_t hosts, TimePoint now);
 
-  // Returns whether probes are pending that a decision should wait for.
-  bool HasPendingProbes(TimePoint now) const;
+  // Returns whether probes are pending that a decision should wait for, if it
+  // waits for overdue probes for `max_timeout` at most.
+  bool HasPendingProbes(Duration max_timeout, TimePoint now) const;
   // Requests further probes that could help the call; returns false if no
   // endpoint is left to probe or the budget is spent.
   bool RequestProbes(const WaitingCall& call, TimePoint now, Random& random);
@@ -43,7 +44,7 @@
   double per_second() const { return budget_.rate(); }
 
  private:
-  Duration ProbeTimeout(TimePoint now) const;
+  Duration ProbeTimeout(Duration max_timeout, TimePoint now) const;
   std::vector<MeasuredCandidate> ProbeCandidates(const WaitingCall& call,
                                                  TimePoint now) const;
 
--- a/policy/service_balancer.cc
+++ b/policy/service_balancer.cc
@@ -33,6 +33,8 @@
                                  TimePoint now) {
   hosts_ = std::max<std::int64_t>(hosts, 1);
   table_.SetService(service, hosts_, now);
+  orders_by_slack_ =
+      options_.slack_placement && service.route_mix.has_mixed_objectives;
 }
 
 void ServiceBalancer::Offer(const CallOffer& offer,
@@ -65,6 +67,9 @@
   if (queue_.Waiting(urgency) == 0) {
     last_served_[Index(urgency)] = now;
   }
+  if (orders_by_slack_) {
+    call.rank = {false, call.offer.on_time_until - MinServiceTime(urgency)};
+  }
   queue_.Add(std::move(call), out.rejections);
   ProcessQueue(now, out);
   if (overload_policy == OverloadPolicy::kShed && queue_.Remove(token)) {
--- a/policy/service_balancer.h
+++ b/policy/service_balancer.h
@@ -30,6 +30,9 @@
   RetryBudgetOptions retries;
   // Limit on the sends of one call.
   int attempt_limit = 3;
+  // See ProxyOptions.
+  bool slack_placement = false;
+  double return_pacing_factor = 0;
   // Time for which calls wait for a usable endpoint before they are refused.
   Duration no_endpoint_timeout = std::chrono::milliseconds(250);
   // Interval at which one call is sent regardless of the estimated load, if
@@ -136,6 +139,9 @@
   TimePoint last_send_;
   std::int64_t in_flight_ = 0;
   std::int64_t hosts_ = 1;
+  // Whether the waiting calls of one urgency and customer are ordered by the
+  // latest time at which they must start, instead of by arrival.
+  bool orders_by_slack_ = false;
   std::uint64_t retries_granted_ = 0;
   std::uint64_t retries_withheld_ = 0;
 };
--- a/proxy/call_log.cc
+++ b/proxy/call_log.cc
@@ -1,7 +1,9 @@
 #include "proxy/call_log.h"
 
+#include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
 
+#include <string>
 #include <utility>
 
 namespace damasktack {
@@ -12,6 +14,16 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+// Returns the keys of the parts that took part in the decision; empty if none
+// did.
+std::string FormatParts(const DecisionBasis& basis) {
+  std::string parts;
+  if (basis.good_share) {
+    parts += fmt::format(" good_share={:.2f}", *basis.good_share);
+  }
+  return parts;
+}
+
 }  // namespace
 
 bool NeedsLogLine(const CallRecord& record) {
@@ -38,12 +50,13 @@
       "event=call-ended call={} request={} customer={} service={} outcome={} "
       "status={} "
       "failure={} endpoint={} sends={} total_ms={} at_endpoints_ms={} "
-      "left_ms={} expected_ms={} report_age_ms={} version={} left_out={}",
+      "left_ms={} expected_ms={} report_age_ms={} version={} left_out={}{}",
       record.call.text(), ToString(record.request), record.customer.text(),
       record.service.text(), ToString(record.outcome), record.status,
       record.failure, record.endpoint.text(), record.sends, ToMs(record.total),
       ToMs(record.at_endpoints), ToMs(record.left), ToMs(record.basis.expected),
-      ToMs(record.basis.report_age), record.routes_version, *left_out);
+      ToMs(record.basis.report_age), record.routes_version, *left_out,
+      FormatParts(record.basis));
 }
 
 void CallLog::WriteColdSend(const CallId& call,
--- a/proxy/call_parameters.cc
+++ b/proxy/call_parameters.cc
@@ -66,6 +66,8 @@
   offer.asked = asked;
   offer.deadline =
       offer.arrival + std::min(route.timeout, asked - kAnswerReturnMargin);
+  offer.timeout_factor =
+      std::chrono::duration<double>(route.timeout) / route.latency_objective;
   offer.on_time_until =
       std::min(offer.deadline, offer.arrival + route.latency_objective);
 }
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -64,10 +64,14 @@
 
 std::unique_ptr<Balancer> ProxyState::MakeBalancer() const {
   if (options_.measures_before_sending) {
-    return std::make_unique<MeasuredBalancer>(options_.measured,
+    MeasuredBalancerOptions options = options_.measured;
+    options.slack_placement = options_.slack_placement;
+    return std::make_unique<MeasuredBalancer>(std::move(options),
                                               std::random_device()());
   }
-  return std::make_unique<ServiceBalancer>(options_.balancer,
+  BalancerOptions options = options_.balancer;
+  options.slack_placement = options_.slack_placement;
+  return std::make_unique<ServiceBalancer>(std::move(options),
                                            std::random_device()());
 }
 
@@ -148,15 +152,24 @@
       << "# TYPE damasktack_probes_total counter\n"
       << "# TYPE damasktack_probe_bytes_total counter\n"
       << "# TYPE damasktack_calls_waiting gauge\n"
-      << "# TYPE damasktack_service_reachable gauge\n";
+      << "# TYPE damasktack_service_reachable gauge\n"
+      << "# TYPE damasktack_capacity_short gauge\n"
+      << "# TYPE damasktack_slack_placements_total counter\n"
+      << "# TYPE damasktack_slack_refusals_total counter\n";
   for (const auto& [id, dispatcher] : dispatchers()) {
     const std::string label = "{service=\"" + id.text() + "\"} ";
     const ProbeCost cost = dispatcher->probe_cost();
+    const BalancerStatus status = dispatcher->Status(now);
     out << "damasktack_probes_total" << label << cost.probes << "\n"
         << "damasktack_probe_bytes_total" << label << cost.bytes << "\n"
-        << "damasktack_calls_waiting" << label
-        << dispatcher->Status(now).waiting << "\n"
+        << "damasktack_calls_waiting" << label << status.waiting << "\n"
         << "damasktack_service_reachable" << label << dispatcher->IsReachable()
+        << "\n"
+        << "damasktack_capacity_short" << label << status.is_capacity_short
+        << "\n"
+        << "damasktack_slack_placements_total" << label
+        << status.slack_placements << "\n"
+        << "damasktack_slack_refusals_total" << label << status.slack_refusals
         << "\n";
   }
   return out.str();
