--- a/policy/balancer.h
+++ b/policy/balancer.h
@@ -76,6 +76,11 @@
   std::uint64_t hedges_granted = 0;
   // Second sends that a budget did not allow.
   std::uint64_t hedges_withheld = 0;
+  // Calls that SlackPlacement placed or refused, and whether it takes the
+  // service for short of capacity.
+  std::uint64_t slack_placements = 0;
+  std::uint64_t slack_refusals = 0;
+  bool is_capacity_short = false;
 };
 
 // Makes all decisions for one service on one host: which calls wait, which
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -66,11 +66,13 @@
   if (options_.measures_before_sending) {
     MeasuredBalancerOptions options = options_.measured;
     options.hedge = options_.hedge;
+    options.slack_placement = options_.slack_placement;
     return std::make_unique<MeasuredBalancer>(std::move(options),
                                               std::random_device()());
   }
   BalancerOptions options = options_.balancer;
   options.hedge = options_.hedge;
+  options.slack_placement = options_.slack_placement;
   return std::make_unique<ServiceBalancer>(std::move(options),
                                            std::random_device()());
 }
@@ -153,7 +155,10 @@
       << "# TYPE damasktack_probe_bytes_total counter\n"
       << "# TYPE damasktack_hedges_withheld_total counter\n"
       << "# TYPE damasktack_calls_waiting gauge\n"
-      << "# TYPE damasktack_service_reachable gauge\n";
+      << "# TYPE damasktack_service_reachable gauge\n"
+      << "# TYPE damasktack_capacity_short gauge\n"
+      << "# TYPE damasktack_slack_placements_total counter\n"
+      << "# TYPE damasktack_slack_refusals_total counter\n";
   for (const auto& [id, dispatcher] : dispatchers()) {
     const std::string label = "{service=\"" + id.text() + "\"} ";
     const BalancerStatus status = dispatcher->Status(now);
@@ -164,6 +169,12 @@
         << "\n"
         << "damasktack_calls_waiting" << label << status.waiting << "\n"
         << "damasktack_service_reachable" << label << dispatcher->IsReachable()
+        << "\n"
+        << "damasktack_capacity_short" << label << status.is_capacity_short
+        << "\n"
+        << "damasktack_slack_placements_total" << label
+        << status.slack_placements << "\n"
+        << "damasktack_slack_refusals_total" << label << status.slack_refusals
         << "\n";
   }
   return out.str();
