Attribute each answer on an endpoint's connection to its request

Cause: answers were told apart by the call id at most. A probe took the late copy of a read's answer for its own, and its own answer, a shed without an id, was then taken for the refusal of the next call, which ran. All sends of a call have the same id, so the late copy of a first refusal ended a later send on the same connection while the endpoint ran it.

Change: AnswerMatcher (pure) matches the answers of one connection to what was written on it. EndpointConnection holds a socket with its buffer, an id and its matcher; EndpointPool keeps these. A probe takes no answer that names a call. A refusal without an id counts for a call that must not run twice only on a connection on which every earlier answer was certain; RequireRecentConnection requires such a connection. Idempotent calls and probes use the others. The id of an endpoint in an answer means "misdirected" only for probes; a call is misdirected by status 421.

--- a/main/load_generator.cc
+++ b/main/load_generator.cc
@@ -182,10 +182,10 @@
     std::size_t entry) {
   const SocketAddress& address = entries[entry].spec.callers;
   auto connection = std::make_shared<TimedSocket>(context);
-  std::optional<Tcp::socket> idle =
+  std::optional<EndpointConnection> idle =
       pool.Take({address, kConnectionsPerEntry}, Clock::now());
   if (idle) {
-    connection->socket = std::move(*idle);
+    connection->socket = std::move(idle->socket());
     co_return connection;
   }
   connection->ExpireAt(Clock::now() + kConnectTimeout);
@@ -239,7 +239,8 @@
   record.latency = Clock::now() - call.due;
   const SocketAddress& address = entries[entry].spec.callers;
   if (is_complete && answer.keep_alive()) {
-    pool.Put({address, kConnectionsPerEntry}, std::move((*connection)->socket),
+    pool.Put({address, kConnectionsPerEntry},
+             EndpointConnection(std::move((*connection)->socket)),
              Clock::now());
   } else {
     pool.Discard(address);
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -404,6 +404,7 @@
   if (!offer_.idempotent) {
     exchange_->RequireRecentConnection();
   }
+  exchange_->AvoidConnections(connections_);
   // A named variable, because g++ 12 destroys the temporaries of a conditional
   // expression inside co_await twice.
   std::string expected_call;
@@ -413,6 +414,7 @@
   ExchangeResult result =
       co_await exchange_->Run(request, offer_.deadline, expected_call);
   exchange_.reset();
+  connections_.push_back(result.connection);
   at_endpoints_ += result.took;
   co_return result;
 }
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -88,6 +88,8 @@
   std::shared_ptr<ClaimOutcome> claim_outcome_;
   std::shared_ptr<ClaimGuard> claim_;
   std::shared_ptr<EndpointExchange> exchange_;
+  // The connections of the sends so far; no later send may use them.
+  std::vector<ConnectionId> connections_;
   CallRelay relay_;
   Duration at_endpoints_{};
   int sends_ = 0;
--- a/proxy/caller_server.cc
+++ b/proxy/caller_server.cc
@@ -197,6 +197,7 @@
   const auto exchange = std::make_shared<EndpointExchange>(
       loop.context().get_executor(), loop.pool(), probe.target,
       state_.options().exchange, state_.options().names);
+  exchange->MarkAsProbe();
   if (probe.needs_new_connection) {
     exchange->RequireNewConnection();
   }
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -57,7 +57,7 @@
       target_(std::move(target)),
       limits_(limits),
       names_(names),
-      socket_(executor),
+      executor_(executor),
       timer_(executor) {}
 
 void EndpointExchange::Abort(SendResult reason) {
@@ -72,11 +72,14 @@
 // so an endpoint that has stopped reading would never notice it. A reset takes
 // effect immediately.
 void EndpointExchange::CloseConnection() {
+  if (!connection_) {
+    return;
+  }
   boost::system::error_code ec;
   if (!wrote_all_) {
-    socket_.set_option(asio::socket_base::linger(true, 0), ec);
+    connection_->socket().set_option(asio::socket_base::linger(true, 0), ec);
   }
-  socket_.close(ec);
+  connection_->socket().close(ec);
 }
 
 void EndpointExchange::Cancel() {
@@ -93,12 +96,12 @@
 }
 
 asio::awaitable<bool> EndpointExchange::Connect() {
-  const TimePoint now = Clock::now();
-  std::optional<Tcp::socket> idle =
-      max_idle_ ? pool_.TakeRecentlyUsed(target_, *max_idle_, now)
-                : pool_.Take(target_, now);
-  if (idle) {
-    socket_ = std::move(*idle);
+  if (needs_.max_idle == Duration::zero()) {
+    // An endpoint that may be unreachable may have dropped them silently.
+    pool_.CloseIdle(target_.address);
+  }
+  connection_ = pool_.Take(target_, Clock::now(), needs_);
+  if (connection_) {
     co_return true;
   }
   boost::system::error_code ec;
@@ -107,48 +110,73 @@
   if (ec) {
     co_return false;
   }
-  co_await socket_.async_connect(peer,
-                                 asio::redirect_error(asio::use_awaitable, ec));
+  connection_.emplace(Tcp::socket(executor_));
+  Tcp::socket& socket = connection_->socket();
+  co_await socket.async_connect(peer,
+                                asio::redirect_error(asio::use_awaitable, ec));
   if (ec) {
     co_return false;
   }
-  socket_.set_option(Tcp::no_delay(true), ec);
-  EnableLostConnectionDetection(socket_.native_handle(),
-                                kUnacknowledgedTimeout);
+  socket.set_option(Tcp::no_delay(true), ec);
+  EnableLostConnectionDetection(socket.native_handle(), kUnacknowledgedTimeout);
   co_return true;
 }
 
+ExpectedAnswer EndpointExchange::Expect(std::string expected_call) const {
+  using Kind = ExpectedAnswer::Kind;
+  ExpectedAnswer expected;
+  expected.needs_certainty = needs_certainty_;
+  if (is_probe_) {
+    expected.kind = Kind::kProbe;
+  } else if (!expected_call.empty()) {
+    expected.kind = Kind::kNamedCall;
+    expected.call = std::move(expected_call);
+  } else if (names_.callers_assign_call_ids) {
+    expected.kind = Kind::kUnnamedCall;
+  }
+  return expected;
+}
+
 // An endpoint may answer a long request before it has read all of it, and then
 // stop reading. Unless incoming data is watched, the write would block until
 // the deadline although the answer has already arrived.
 void EndpointExchange::WatchForEarlyAnswer() {
-  socket_.async_wait(Tcp::socket::wait_read,
-                     [self = shared_from_this()](boost::system::error_code ec) {
-                       if (!ec && self->writing_) {
-                         self->socket_.cancel(ec);
-                       }
-                     });
+  connection_->socket().async_wait(
+      Tcp::socket::wait_read,
+      [self = shared_from_this()](boost::system::error_code ec) {
+        if (!ec && self->writing_) {
+          self->connection_->socket().cancel(ec);
+        }
+      });
 }
 
-// Returns true if the whole request was written.
-asio::awaitable<bool> EndpointExchange::Send(const HttpRequest& request) {
+asio::awaitable<void> EndpointExchange::Write(const HttpRequest& request) {
   boost::system::error_code ec;
   writing_ = true;
   const bool is_long = request.body().size() > kMaxSingleWriteBytes;
   if (is_long) {
     WatchForEarlyAnswer();
   }
-  const std::size_t written = co_await http::async_write(
-      socket_, request, asio::redirect_error(asio::use_awaitable, ec));
+  const std::size_t written =
+      co_await http::async_write(connection_->socket(), request,
+                                 asio::redirect_error(asio::use_awaitable, ec));
   writing_ = false;
   if (is_long) {
     boost::system::error_code ignored;
-    socket_.cancel(ignored);
+    connection_->socket().cancel(ignored);
   }
   wrote_ = written > 0;
   wrote_all_ = !ec;
   bytes_ += written;
-  co_return wrote_all_;
+}
+
+asio::awaitable<std::optional<HttpResponse>> EndpointExchange::SendAndRead(
+    const HttpRequest& request) {
+  co_await Write(request);
+  if (!wrote_) {
+    co_return std::nullopt;
+  }
+  co_return co_await ReadOwnAnswer(request.method() == http::verb::head);
 }
 
 // Returns null if no complete answer arrived.
@@ -161,7 +189,8 @@
     parser.skip(to_head);
     boost::system::error_code ec;
     bytes_ += co_await http::async_read(
-        socket_, buf_, parser, asio::redirect_error(asio::use_awaitable, ec));
+        connection_->socket(), connection_->buffer(), parser,
+        asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
       co_return std::nullopt;
     }
@@ -172,8 +201,11 @@
       co_return std::nullopt;
     }
     HttpResponse answer = parser.release();
-    // Bytes after the answer do not belong to any request.
-    reusable_ = answer.keep_alive() && buf_.size() == 0;
+    // Bytes after the answer do not belong to any request. A copy of the answer
+    // to a HEAD request states a length but has no body, so it would be read
+    // together with a part of the next answer.
+    reusable_ = answer.keep_alive() && connection_->buffer().size() == 0 &&
+                !(to_head && names_.may_duplicate_responses);
     stated_idle_ =
         ParseKeepAliveTimeout(FromBeast(answer[http::field::keep_alive]));
     co_return answer;
@@ -189,28 +221,33 @@
          (has_no_end && names_.response_may_end_at_close);
 }
 
-// An endpoint may answer a call twice, and the second answer is then read in
-// place of the next call's answer. Without skipping it, that caller would be
+AnswerTraits EndpointExchange::TraitsOf(const HttpResponse& answer) const {
+  const SendResult result = ClassifyAnswer(answer);
+  AnswerTraits traits;
+  traits.call = FromBeast(answer[names_.call]);
+  traits.names_endpoint = !answer[names_.answering_endpoint].empty();
+  traits.has_load_report = !answer[names_.load].empty();
+  traits.is_misdirected = result == SendResult::kMisdirected;
+  traits.is_refusal = traits.is_misdirected || result == SendResult::kShed;
+  return traits;
+}
+
+// An endpoint may answer a request twice, and the second answer is then read in
+// place of the next request's answer. Without skipping it, that caller would be
 // told that the outcome is unknown although its answer follows directly.
 asio::awaitable<std::optional<HttpResponse>> EndpointExchange::ReadOwnAnswer(
-    bool to_head,
-    const std::string& expected_call) {
+    bool to_head) {
   for (int n = 0; n < kMaxStrayAnswers; ++n) {
     std::optional<HttpResponse> answer = co_await ReadAnswer(to_head);
-    if (!answer || expected_call.empty()) {
-      co_return answer;
-    }
-    const auto named = FromBeast((*answer)[names_.call]);
-    if (named == expected_call) {
-      co_return answer;
+    if (!answer) {
+      co_return std::nullopt;
     }
-    const bool is_refusal = ClassifyAnswer(*answer) == SendResult::kShed ||
-                            ClassifyAnswer(*answer) == SendResult::kMisdirected;
-    if (named.empty() && is_refusal) {
+    const AnswerMatch match = connection_->answers().Match(TraitsOf(*answer));
+    if (match == AnswerMatch::kOwn) {
       co_return answer;
     }
-    if (named.empty() || !names_.may_duplicate_responses ||
-        !answer->keep_alive()) {
+    if (match == AnswerMatch::kUnattributable ||
+        !names_.may_duplicate_responses || !answer->keep_alive()) {
       co_return std::nullopt;
     }
   }
@@ -238,17 +275,17 @@
 // it did not run it. When this was treated as overload, the next calls were
 // sent to the same address, and its answers to probes made it look idle, which
 // attracted further calls.
-bool EndpointExchange::IsFromOtherEndpoint(const HttpResponse& answer) const {
-  if (answer.result() == http::status::misdirected_request &&
-      !names_.expected_endpoint.empty()) {
-    return true;
+bool EndpointExchange::IsMisdirected(const HttpResponse& answer) const {
+  if (!is_probe_) {
+    return answer.result() == http::status::misdirected_request &&
+           !names_.expected_endpoint.empty();
   }
   const auto named = FromBeast(answer[names_.answering_endpoint]);
   return !named.empty() && named != target_.id.text();
 }
 
 SendResult EndpointExchange::ClassifyAnswer(const HttpResponse& answer) const {
-  if (IsFromOtherEndpoint(answer)) {
+  if (IsMisdirected(answer)) {
     return SendResult::kMisdirected;
   }
   const bool is_error = answer.result_int() >= kFirstClientError;
@@ -261,17 +298,14 @@
 
 asio::awaitable<SendResult> EndpointExchange::Transfer(
     const HttpRequest& request,
-    const std::string& expected_call,
     ExchangeResult& out) {
-  const bool sent_whole = co_await Send(request);
+  std::optional<HttpResponse> answer = co_await SendAndRead(request);
   if (!wrote_) {
     co_return SendResult::kNotConnected;
   }
-  const bool to_head = request.method() == http::verb::head;
-  std::optional<HttpResponse> answer =
-      co_await ReadOwnAnswer(to_head, expected_call);
-  reusable_ = reusable_ && sent_whole;
+  reusable_ = reusable_ && wrote_all_ && connection_->answers().is_settled();
   if (!answer) {
+    reusable_ = false;
     co_return SendResult::kBroken;
   }
   LogUnknownHeaders(*answer, names_);
@@ -298,7 +332,8 @@
 
 void EndpointExchange::ReleaseConnection(bool draining) {
   if (reusable_ && !aborted_ && !draining) {
-    pool_.Put(target_, std::move(socket_), Clock::now(), stated_idle_);
+    pool_.Put(target_, std::move(*connection_), Clock::now(), stated_idle_);
+    connection_.reset();
     return;
   }
   pool_.Discard(target_.address);
@@ -316,10 +351,16 @@
   ExchangeResult out;
   deadline_ = deadline;
   StartTimer(std::min(deadline, started_at_ + limits_.connect_timeout));
+  ExpectedAnswer expected = Expect(std::move(expected_call));
+  needs_.call = expected.call;
+  needs_.needs_certainty =
+      needs_certainty_ && expected.kind != ExpectedAnswer::Kind::kNextAnswer;
   const bool connected = co_await Connect();
   if (connected && !aborted_) {
     StartTimer(deadline);
-    out.result = co_await Transfer(request, expected_call, out);
+    out.connection = connection_->id();
+    connection_->answers().Expect(std::move(expected));
+    out.result = co_await Transfer(request, out);
   }
   timer_.expires_at(TimePoint::max());
   out.result = FinalResult(out.result, out.answer.has_value());
--- a/proxy/endpoint_exchange.h
+++ b/proxy/endpoint_exchange.h
@@ -5,6 +5,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "core/time.h"
 #include "policy/call.h"
@@ -35,6 +37,8 @@
   Duration took{};
   // Total bytes sent and received.
   std::uint64_t bytes = 0;
+  // The connection used; 0 if none was established.
+  ConnectionId connection = 0;
 };
 
 // Sends one request to one endpoint once and reads the answer. Used on one I/O
@@ -53,13 +57,28 @@
                                       TimePoint deadline,
                                       std::string expected_call);
 
-  // Allows only a new or a recently used connection, for calls that must not
-  // run twice. An endpoint may have dropped an idle connection without closing
+  // Marks a call that must not run twice. Allows only a new or a recently used
+  // connection: an endpoint may have dropped an idle connection without closing
   // it, and then the outcome of the next request on it is unknown; a connection
-  // that was used a moment ago is very unlikely to be dropped.
-  void RequireRecentConnection() { max_idle_ = kRecentUse; }
+  // that was used a moment ago is very unlikely to be dropped. Where answers
+  // name their calls, also requires a connection on which every earlier answer
+  // was matched for certain.
+  void RequireRecentConnection() {
+    needs_.max_idle = kRecentUse;
+    needs_certainty_ = true;
+  }
   // Allows only a new connection, to learn whether the endpoint can be reached.
-  void RequireNewConnection() { max_idle_ = Duration::zero(); }
+  void RequireNewConnection() { needs_.max_idle = Duration::zero(); }
+  // Excludes these connections. Sends of one call must not share a connection,
+  // because a late copy of the first answer would be taken for the second.
+  void AvoidConnections(std::vector<ConnectionId> connections) {
+    needs_.avoided = std::move(connections);
+  }
+  // The request is a probe: answers that name a call are not its own.
+  void MarkAsProbe() {
+    is_probe_ = true;
+    needs_.prefers_uncertain = true;
+  }
 
   // Aborts the exchange by closing its connection, which tells the endpoint
   // that the call is cancelled. Has no effect after Run has returned.
@@ -70,22 +89,25 @@
   static constexpr Duration kRecentUse = std::chrono::milliseconds(1000);
 
   asio::awaitable<bool> Connect();
-  asio::awaitable<bool> Send(const HttpRequest& request);
+  ExpectedAnswer Expect(std::string expected_call) const;
+  asio::awaitable<void> Write(const HttpRequest& request);
+  void WatchForEarlyAnswer();
+  // Writes the request and reads its answer. Returns null if no complete answer
+  // arrived.
+  asio::awaitable<std::optional<HttpResponse>> SendAndRead(
+      const HttpRequest& request);
   asio::awaitable<std::optional<HttpResponse>> ReadAnswer(bool to_head);
-  // Reads answers, skipping those that belong to other calls.
-  asio::awaitable<std::optional<HttpResponse>> ReadOwnAnswer(
-      bool to_head,
-      const std::string& expected_call);
+  // Reads answers, skipping those that belong to other requests.
+  asio::awaitable<std::optional<HttpResponse>> ReadOwnAnswer(bool to_head);
   bool HasAcceptableEnd(const HttpResponse& answer, bool to_head) const;
   std::optional<EndpointReport> ReadReport(const HttpResponse& answer) const;
   asio::awaitable<SendResult> Transfer(const HttpRequest& request,
-                                       const std::string& expected_call,
                                        ExchangeResult& out);
-  bool IsFromOtherEndpoint(const HttpResponse& answer) const;
+  AnswerTraits TraitsOf(const HttpResponse& answer) const;
+  bool IsMisdirected(const HttpResponse& answer) const;
   SendResult ClassifyAnswer(const HttpResponse& answer) const;
   SendResult FinalResult(SendResult result, bool has_answer) const;
   void StartTimer(TimePoint deadline);
-  void WatchForEarlyAnswer();
   void Abort(SendResult reason);
   void CloseConnection();
   void ReleaseConnection(bool draining);
@@ -94,8 +116,9 @@
   const EndpointTarget target_;
   const ExchangeLimits limits_;
   const ProtocolNames& names_;
-  Tcp::socket socket_;
-  beast::flat_buffer buf_;
+  asio::any_io_executor executor_;
+  // Null before the connection is chosen and after it was returned to the pool.
+  std::optional<EndpointConnection> connection_;
   asio::steady_timer timer_;
   TimePoint started_at_;
   TimePoint deadline_;
@@ -107,8 +130,9 @@
   bool wrote_all_ = false;
   bool writing_ = false;
   bool reusable_ = false;
-  // Maximum idle time of the connection to use; null means that of the pool.
-  std::optional<Duration> max_idle_;
+  bool is_probe_ = false;
+  bool needs_certainty_ = false;
+  ConnectionNeeds needs_;
 };
 
 }  // namespace damasktack
--- a/proxy/endpoint_pool.cc
+++ b/proxy/endpoint_pool.cc
@@ -1,7 +1,5 @@
 #include "proxy/endpoint_pool.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -13,40 +11,47 @@
 // a request needs some time to arrive.
 constexpr Duration kCloseMargin = std::chrono::milliseconds(500);
 
-// Unsolicited bytes from an endpoint would be taken for the answer to the next
-// call, and on a connection that the endpoint has closed that call's outcome
-// would be unknown. Both make the socket readable, so only a socket without
-// input is usable.
-bool HasNoPendingInput(Tcp::socket& socket) {
-  char byte = 0;
-  const ssize_t n =
-      recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+bool Fulfils(const EndpointConnection& connection,
+             Duration idle_for,
+             const ConnectionNeeds& needs) {
+  const AnswerMatcher& answers = connection.answers();
+  return idle_for < needs.max_idle.value_or(Duration::max()) &&
+         (answers.is_certain() || !needs.needs_certainty) &&
+         !answers.HasCarried(needs.call) &&
+         std::ranges::count(needs.avoided, connection.id()) == 0;
 }
 
 }  // namespace
 
 EndpointPool::EndpointPool(Duration max_idle) : max_idle_(max_idle) {}
 
-std::optional<Tcp::socket> EndpointPool::Take(const EndpointTarget& target,
-                                              TimePoint now) {
-  return TakeWithin(target, max_idle_, now);
-}
-
-std::optional<Tcp::socket> EndpointPool::TakeRecentlyUsed(
-    const EndpointTarget& target,
-    Duration max_idle,
+std::vector<EndpointPool::Idle>::iterator EndpointPool::Find(
+    std::vector<Idle>& idle,
+    const ConnectionNeeds& needs,
     TimePoint now) {
-  return TakeWithin(target, std::min(max_idle, max_idle_), now);
+  auto found = idle.end();
+  for (auto it = idle.end(); it != idle.begin();) {
+    --it;
+    if (!Fulfils(it->connection, now - it->since, needs)) {
+      continue;
+    }
+    if (!needs.prefers_uncertain || !it->connection.answers().is_certain()) {
+      return it;
+    }
+    if (found == idle.end()) {
+      found = it;
+    }
+  }
+  return found;
 }
 
 // Requests on connections to a process that ended without closing them are
 // lost: the next call would wait until its deadline, with an unknown outcome.
 // Therefore all connections are dropped once the target is another process.
-std::optional<Tcp::socket> EndpointPool::TakeWithin(
+std::optional<EndpointConnection> EndpointPool::Take(
     const EndpointTarget& target,
-    Duration max_idle,
-    TimePoint now) {
+    TimePoint now,
+    const ConnectionNeeds& needs) {
   Connections& connections = by_address_[target.address];
   if (!connections.BelongTo(target)) {
     connections.idle.clear();
@@ -55,31 +60,47 @@
   }
   ++connections.used;
   std::vector<Idle>& idle = connections.idle;
-  while (!idle.empty()) {
-    Idle last = std::move(idle.back());
-    idle.pop_back();
-    // A call that is written while the endpoint closes an idle connection has
-    // an unknown outcome. Recently used connections are not affected.
-    const bool is_usable = now < last.until && now - last.since < max_idle;
-    if (is_usable && HasNoPendingInput(last.socket)) {
-      return std::move(last.socket);
+  // A call that is written while the endpoint closes an idle connection has an
+  // unknown outcome. Recently used connections are not affected.
+  std::erase_if(idle, [&](const Idle& it) {
+    return now >= it.until || now - it.since >= max_idle_;
+  });
+  for (auto it = Find(idle, needs, now); it != idle.end();
+       it = Find(idle, needs, now)) {
+    Idle found = std::move(*it);
+    idle.erase(it);
+    if (found.connection.IsReady()) {
+      return std::move(found.connection);
     }
   }
   return std::nullopt;
 }
 
+// Connections that every call may use are worth more than those that only some
+// may use, so one of these makes room for them.
 void EndpointPool::Put(const EndpointTarget& target,
-                       Tcp::socket socket,
+                       EndpointConnection connection,
                        TimePoint now,
                        std::optional<Duration> stated_idle) {
   Discard(target.address);
   Connections& connections = by_address_[target.address];
-  const bool has_room =
-      connections.used + connections.idle.size() < target.connections;
-  if (has_room && connections.BelongTo(target)) {
+  std::vector<Idle>& kept = connections.idle;
+  if (!connections.BelongTo(target)) {
+    return;
+  }
+  const auto uncertain = std::ranges::find_if(kept, [](const Idle& it) {
+    return !it.connection.answers().is_certain();
+  });
+  std::size_t total = connections.used + kept.size();
+  if (total == target.connections && uncertain != kept.end() &&
+      connection.answers().is_certain()) {
+    kept.erase(uncertain);
+    --total;
+  }
+  if (total < target.connections) {
     const Duration idle = std::min(
         max_idle_, stated_idle.value_or(Duration::max()) - kCloseMargin);
-    connections.idle.push_back(Idle{std::move(socket), now, now + idle});
+    kept.push_back(Idle{std::move(connection), now, now + idle});
   }
 }
 
--- a/proxy/endpoint_pool.h
+++ b/proxy/endpoint_pool.h
@@ -11,6 +11,7 @@
 #include "core/ids.h"
 #include "core/json_reader.h"
 #include "core/time.h"
+#include "proxy/endpoint_connection.h"
 #include "proxy/http_types.h"
 
 namespace damasktack {
@@ -28,6 +29,20 @@
   EndpointStart started_at = {};
 };
 
+// What a request needs of the connection that it is written on.
+struct ConnectionNeeds {
+  // Maximum idle time; null means that of the pool.
+  std::optional<Duration> max_idle = {};
+  // Only a connection on which every earlier answer was matched for certain.
+  bool needs_certainty = false;
+  // Prefers connections that calls which need certainty cannot use.
+  bool prefers_uncertain = false;
+  // Never a connection that has recently carried this call; empty means none.
+  std::string call = {};
+  // Never one of these connections.
+  std::vector<ConnectionId> avoided = {};
+};
+
 // Pool of idle connections to endpoints, for one I/O thread. Also counts the
 // connections in use, so that idle and used connections together stay within
 // the thread's share.
@@ -38,15 +53,13 @@
 
   // Returns a usable idle connection, or null if there is none. Each Take must
   // be followed by exactly one Put or Discard.
-  std::optional<Tcp::socket> Take(const EndpointTarget& target, TimePoint now);
-  // Like Take, but only returns a connection that was used within `max_idle`.
-  std::optional<Tcp::socket> TakeRecentlyUsed(const EndpointTarget& target,
-                                              Duration max_idle,
-                                              TimePoint now);
+  std::optional<EndpointConnection> Take(const EndpointTarget& target,
+                                         TimePoint now,
+                                         const ConnectionNeeds& needs = {});
   // Returns a connection to the pool after an answer that ended cleanly.
   // `stated_idle` is the endpoint's own idle timeout, if it stated one.
   void Put(const EndpointTarget& target,
-           Tcp::socket socket,
+           EndpointConnection connection,
            TimePoint now,
            std::optional<Duration> stated_idle = std::nullopt);
   // Records that a connection from Take, or one opened in its place, has been
@@ -62,7 +75,7 @@
 
  private:
   struct Idle {
-    Tcp::socket socket;
+    EndpointConnection connection;
     TimePoint since;
     TimePoint until;
   };
@@ -78,9 +91,11 @@
     }
   };
 
-  std::optional<Tcp::socket> TakeWithin(const EndpointTarget& target,
-                                        Duration max_idle,
-                                        TimePoint now);
+  // Returns an element of `idle` that fulfils `needs`, preferably one used
+  // lately.
+  static std::vector<Idle>::iterator Find(std::vector<Idle>& idle,
+                                          const ConnectionNeeds& needs,
+                                          TimePoint now);
 
   const Duration max_idle_;
   std::map<SocketAddress, Connections> by_address_;
--- a/tests/proxy/test_endpoint_pool.cc
+++ b/tests/proxy/test_endpoint_pool.cc
@@ -21,10 +21,10 @@
   EndpointTarget Target(std::size_t connections) const {
     return {SocketAddress{"127.0.0.1", endpoint_.port()}, connections};
   }
-  Tcp::socket Open() {
+  EndpointConnection Open() {
     Tcp::socket socket(context_);
     socket.connect({asio::ip::address_v4::loopback(), endpoint_.port()});
-    return socket;
+    return EndpointConnection(std::move(socket));
   }
 
  private:
--- /dev/null
+++ b/tests/proxy/test_exchange_matching.cc
@@ -0,0 +1,100 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "exchange_fixture.h"
+#include "proxy_fixture.h"
+
+namespace damasktack {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string NamedAnswer(const std::string& call, const std::string& body) {
+  return OkAnswer(body, std::string(kCallIdName) + ": " + call + "\r\n");
+}
+
+std::string Shed(const std::string& call = "") {
+  const std::string id =
+      call.empty() ? "" : kCallIdName + (": " + call + "\r\n");
+  return "HTTP/1.1 503 Service Unavailable\r\nX-Damasktack-Not-Executed: "
+         "1\r\n" +
+         id + "Content-Length: 0\r\n\r\n";
+}
+
+using Kind = ExchangeFixture::Kind;
+
+// Guards against a probe that takes a second copy of a call's answer for its
+// own. Its own answer, a shed without an id, was then taken for the refusal of
+// the next call, which ran.
+TEST_CASE("the answer to a probe never refuses the next call") {
+  const RawEndpoint endpoint([](RawConnection& it) {
+    it.ReadMessage();
+    it.Send(NamedAnswer("a", "read"));
+    it.ReadMessage();
+    it.Send(NamedAnswer("a", "read"));
+    std::this_thread::sleep_for(milliseconds(20));
+    it.Send(Shed());
+    it.ReadMessage();
+    it.Send(NamedAnswer("b", "ran"));
+    it.WaitForHangUp();
+  });
+  ExchangeFixture exchanges(endpoint);
+  const ExchangeResult read = exchanges.Send(Kind::kSafe, "a");
+  CHECK(read.result == SendResult::kAnswered);
+  const ExchangeResult probe = exchanges.Send(Kind::kProbe, "");
+  CHECK(probe.result == SendResult::kShed);
+  CHECK(probe.connection == read.connection);
+  // The connection carried an answer without an id, so only calls that may run
+  // twice may use it.
+  const ExchangeResult next = exchanges.Send(Kind::kSafe, "b");
+  CHECK(next.result == SendResult::kAnswered);
+  CHECK(next.connection == read.connection);
+}
+
+// Guards against a late copy of a refusal that ends the next send of the same
+// call while the endpoint runs it.
+TEST_CASE("two sends of one call never share a connection") {
+  const RawEndpoint endpoint([](RawConnection& it) {
+    it.ReadMessage();
+    it.Send(Shed("a"));
+    if (it.ReadMessage().empty()) {
+      return;
+    }
+    it.Send(Shed("a") + NamedAnswer("a", "ran"));
+    it.WaitForHangUp();
+  });
+  ExchangeFixture exchanges(endpoint);
+  const ExchangeResult first = exchanges.Send(Kind::kUnsafe, "a");
+  const ExchangeResult second = exchanges.Send(Kind::kUnsafe, "a");
+  CHECK(first.result == SendResult::kShed);
+  CHECK(first.connection < second.connection);
+  // Without an id, the owner of the sends names the connections.
+  const ExchangeResult third =
+      exchanges.Send(Kind::kSafe, "c", "", milliseconds(100),
+                     {first.connection, second.connection});
+  CHECK(third.connection > second.connection);
+  CHECK(endpoint.connections() == 3);
+}
+
+// Guards against a call that must not run twice on a connection on which a
+// refusal without an id may be the answer to another request.
+TEST_CASE("a call that must not run twice avoids uncertain connections") {
+  const RawEndpoint endpoint([](RawConnection& it) {
+    while (!it.ReadMessage().empty()) {
+      it.Send(Shed());
+    }
+  });
+  ExchangeFixture exchanges(endpoint);
+  const ExchangeResult first = exchanges.Send(Kind::kUnsafe, "a");
+  CHECK(first.result == SendResult::kShed);
+  CHECK(exchanges.Send(Kind::kSafe, "b").connection == first.connection);
+  const ExchangeResult second = exchanges.Send(Kind::kUnsafe, "c");
+  CHECK(second.result == SendResult::kShed);
+  CHECK(second.connection != first.connection);
+}
+
+}  // namespace
+}  // namespace damasktack
