Go on writing a long request when another request's answer arrives

After the late copy of another call's answer the request was never written completely, and its caller waited until the deadline.

Change: answers are read and attributed while such a request is written. Only its own answer, or one that cannot be attributed, ends the write. The write is ended by shutting the socket down as well, because a cancellation that falls between two parts of a write has no effect.

--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -137,41 +137,31 @@
   return expected;
 }
 
-// An endpoint may answer a long request before it has read all of it, and then
-// stop reading. Unless incoming data is watched, the write would block until
-// the deadline although the answer has already arrived.
-void EndpointExchange::WatchForEarlyAnswer() {
-  connection_->socket().async_wait(
-      Tcp::socket::wait_read,
-      [self = shared_from_this()](boost::system::error_code ec) {
-        if (!ec && self->writing_) {
-          self->connection_->socket().cancel(ec);
-        }
-      });
-}
-
 asio::awaitable<void> EndpointExchange::Write(const HttpRequest& request) {
   boost::system::error_code ec;
   writing_ = true;
-  const bool is_long = request.body().size() > kMaxSingleWriteBytes;
-  if (is_long) {
-    WatchForEarlyAnswer();
-  }
   const std::size_t written =
       co_await http::async_write(connection_->socket(), request,
                                  asio::redirect_error(asio::use_awaitable, ec));
   writing_ = false;
-  if (is_long) {
-    boost::system::error_code ignored;
-    connection_->socket().cancel(ignored);
-  }
   wrote_ = written > 0;
   wrote_all_ = !ec;
   bytes_ += written;
 }
 
+// Cancelling alone has no effect on a write that continues with its next part.
+void EndpointExchange::StopWriting() {
+  boost::system::error_code ec;
+  reusable_ = false;
+  connection_->socket().shutdown(Tcp::socket::shutdown_send, ec);
+  connection_->socket().cancel(ec);
+}
+
 asio::awaitable<std::optional<HttpResponse>> EndpointExchange::SendAndRead(
     const HttpRequest& request) {
+  if (request.body().size() > kMaxSingleWriteBytes) {
+    co_return co_await SendLongAndRead(request);
+  }
   co_await Write(request);
   if (!wrote_) {
     co_return std::nullopt;
@@ -179,6 +169,34 @@
   co_return co_await ReadOwnAnswer(request.method() == http::verb::head);
 }
 
+// An endpoint may answer a long request before it has read all of it, and then
+// stop reading. Unless answers are read meanwhile, the write would block until
+// the deadline although the answer has already arrived. A late copy of another
+// answer does not end the write.
+asio::awaitable<std::optional<HttpResponse>> EndpointExchange::SendLongAndRead(
+    const HttpRequest& request) {
+  std::optional<HttpResponse> answer;
+  bool is_read = false;
+  asio::steady_timer read_end(executor_, TimePoint::max());
+  asio::co_spawn(
+      executor_, ReadOwnAnswer(request.method() == http::verb::head),
+      [&, self = shared_from_this()](const std::exception_ptr&,
+                                     std::optional<HttpResponse> own) {
+        answer = std::move(own);
+        is_read = true;
+        read_end.cancel();
+        if (self->writing_) {
+          self->StopWriting();
+        }
+      });
+  co_await Write(request);
+  while (!is_read) {
+    boost::system::error_code ec;
+    co_await read_end.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  }
+  co_return answer;
+}
+
 // Returns null if no complete answer arrived.
 asio::awaitable<std::optional<HttpResponse>> EndpointExchange::ReadAnswer(
     bool to_head) {
--- a/proxy/endpoint_exchange.h
+++ b/proxy/endpoint_exchange.h
@@ -91,11 +91,14 @@
   asio::awaitable<bool> Connect();
   ExpectedAnswer Expect(std::string expected_call) const;
   asio::awaitable<void> Write(const HttpRequest& request);
-  void WatchForEarlyAnswer();
+  void StopWriting();
   // Writes the request and reads its answer. Returns null if no complete answer
   // arrived.
   asio::awaitable<std::optional<HttpResponse>> SendAndRead(
       const HttpRequest& request);
+  // As above for a request that may block on the endpoint while it is written.
+  asio::awaitable<std::optional<HttpResponse>> SendLongAndRead(
+      const HttpRequest& request);
   asio::awaitable<std::optional<HttpResponse>> ReadAnswer(bool to_head);
   // Reads answers, skipping those that belong to other requests.
   asio::awaitable<std::optional<HttpResponse>> ReadOwnAnswer(bool to_head);
