Wait for an endpoint that reads a long request late

Cause: TCP_USER_TIMEOUT of 1 s also ends a connection whose peer answers every window probe but keeps its window closed. A request of 360,000 bytes to an endpoint that read 1.6 s later was cut off after 1.3 s.

Change: for requests of more than 16 KB, TCP_INFO is read every 100 ms. Once it shows an acknowledgement while data is pending, the timeout is switched off, and the exchange ends when data or a window probe is unanswered for 1 s. Where TCP_INFO fails or reports zeros, and for shorter requests, the timeout stays. It is set again before the connection is reused.

--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/tcp_liveness.h"
 #include "proxy/endpoint_report_codec.h"
 #include "proxy/endpoint_signals_codec.h"
 #include "proxy/unknown_headers.h"
@@ -25,6 +24,9 @@
 // retransmissions. Without this check, calls were sent on connections that had
 // been lost while idle, and their callers waited for their full timeout.
 constexpr std::chrono::milliseconds kUnacknowledgedTimeout(1000);
+// Interval of the checks whether the peer of a long request still answers; a
+// fraction of the time above, so that it is exceeded by little.
+constexpr std::chrono::milliseconds kPeerCheckInterval(100);
 // A request up to this size fits into the kernel's send buffer, so writing it
 // never blocks on the endpoint.
 constexpr std::size_t kMaxSingleWriteBytes = 16U << 10U;
@@ -58,7 +60,9 @@
       limits_(limits),
       names_(names),
       executor_(executor),
-      timer_(executor) {}
+      timer_(executor),
+      peer_check_(executor),
+      silence_(kUnacknowledgedTimeout) {}
 
 void EndpointExchange::Abort(SendResult reason) {
   if (aborted_) {
@@ -72,6 +76,7 @@
 // so an endpoint that has stopped reading would never notice it. A reset takes
 // effect immediately.
 void EndpointExchange::CloseConnection() {
+  peer_check_.cancel();
   if (!connection_) {
     return;
   }
@@ -149,6 +154,54 @@
   bytes_ += written;
 }
 
+// The kernel's timeout also ends a connection whose peer acknowledges every
+// window probe but has read nothing for that time. A request longer than the
+// buffers of both kernels was cut off by it although the endpoint was about to
+// read on. Once the kernel has shown that it knows when the peer answered, this
+// check replaces the timeout. Elsewhere, and for short requests, the timeout
+// stays.
+void EndpointExchange::WatchPeer() {
+  peer_check_.expires_after(kPeerCheckInterval);
+  peer_check_.async_wait(
+      [self = shared_from_this()](boost::system::error_code ec) {
+        if (!ec && self->connection_ && !self->aborted_) {
+          self->CheckPeer();
+        }
+      });
+}
+
+void EndpointExchange::CheckPeer() {
+  const int socket = connection_->socket().native_handle();
+  const std::optional<TcpProgress> progress = ReadTcpProgress(socket);
+  if (!progress) {
+    return;
+  }
+  if (silence_.IsSilent(*progress, Clock::now())) {
+    Abort(SendResult::kBroken);
+    return;
+  }
+  const bool has_answered = !progress->awaits_acknowledgement &&
+                            progress->unanswered_probes == 0 &&
+                            progress->since_answer.count() > 0;
+  if (progress->has_pending && has_answered && !is_timeout_off_) {
+    is_timeout_off_ = true;
+    SetUnacknowledgedTimeout(socket, std::chrono::milliseconds(0));
+  }
+  if (!progress->has_pending && !writing_) {
+    // The endpoint's kernel has the whole request.
+    RestoreTimeout();
+    return;
+  }
+  WatchPeer();
+}
+
+void EndpointExchange::RestoreTimeout() {
+  if (std::exchange(is_timeout_off_, false)) {
+    SetUnacknowledgedTimeout(connection_->socket().native_handle(),
+                             kUnacknowledgedTimeout);
+  }
+}
+
 // Cancelling alone has no effect on a write that continues with its next part.
 void EndpointExchange::StopWriting() {
   boost::system::error_code ec;
@@ -189,6 +242,7 @@
           self->StopWriting();
         }
       });
+  WatchPeer();
   co_await Write(request);
   while (!is_read) {
     boost::system::error_code ec;
@@ -350,6 +404,8 @@
 
 void EndpointExchange::ReleaseConnection(bool draining) {
   if (reusable_ && !aborted_ && !draining) {
+    peer_check_.cancel();
+    RestoreTimeout();
     pool_.Put(target_, std::move(*connection_), Clock::now(), stated_idle_);
     connection_.reset();
     return;
--- a/proxy/endpoint_exchange.h
+++ b/proxy/endpoint_exchange.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/tcp_liveness.h"
 #include "core/time.h"
 #include "policy/call.h"
 #include "policy/endpoint_report.h"
@@ -111,6 +112,10 @@
   SendResult ClassifyAnswer(const HttpResponse& answer) const;
   SendResult FinalResult(SendResult result, bool has_answer) const;
   void StartTimer(TimePoint deadline);
+  // Checks at intervals whether the peer still acknowledges a long request.
+  void WatchPeer();
+  void CheckPeer();
+  void RestoreTimeout();
   void Abort(SendResult reason);
   void CloseConnection();
   void ReleaseConnection(bool draining);
@@ -123,6 +128,10 @@
   // Null before the connection is chosen and after it was returned to the pool.
   std::optional<EndpointConnection> connection_;
   asio::steady_timer timer_;
+  asio::steady_timer peer_check_;
+  SilenceDetector silence_;
+  // Whether the kernel's timeout for unacknowledged data is off.
+  bool is_timeout_off_ = false;
   TimePoint started_at_;
   TimePoint deadline_;
   std::optional<SendResult> aborted_;
--- a/tests/proxy/raw_peer.cc
+++ b/tests/proxy/raw_peer.cc
@@ -1,6 +1,7 @@
 #include "raw_peer.h"
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -158,6 +159,12 @@
   Close();
 }
 
+void RawConnection::DropIncoming() {
+  sock_filter drop{BPF_RET | BPF_K, 0, 0, 0};
+  const sock_fprog program{1, &drop};
+  setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
 RawEndpoint::RawEndpoint(Script script) : script_(std::move(script)) {
   fd_ = Bind(port_);
   listen(fd_, SOMAXCONN);
--- a/tests/proxy/raw_peer.h
+++ b/tests/proxy/raw_peer.h
@@ -39,6 +39,9 @@
   void Close();
   // Closes the connection with a reset.
   void Reset();
+  // Makes the kernel discard all packets of the peer from now on, as if the
+  // network path was lost.
+  void DropIncoming();
 
  private:
   bool ReadMore();
