Keep the kernel's timeout until the peer has answered a window probe

Cause: the timeout for a long request was switched off at the first acknowledgement while data was pending, which may precede the loss of the path. A path lost right after the request's head was noticed after 2.5 s only.

Change: it is switched off once TCP_INFO shows that a window probe or a repeated segment was answered. Environments that report zeros never get there.

--- a/core/tcp_liveness.cc
+++ b/core/tcp_liveness.cc
@@ -51,6 +51,9 @@
       info.tcpi_unacked > 0 &&
       info.tcpi_last_ack_recv > info.tcpi_last_data_sent;
   progress.unanswered_probes = info.tcpi_probes;
+  progress.has_answered_retry = info.tcpi_backoff > 0 &&
+                                info.tcpi_probes == 0 &&
+                                !progress.awaits_acknowledgement;
   progress.since_answer = std::chrono::milliseconds(info.tcpi_last_ack_recv);
   return progress;
 }
--- a/core/tcp_liveness.h
+++ b/core/tcp_liveness.h
@@ -28,6 +28,9 @@
   bool has_pending = false;
   // Whether the data that was sent last is unacknowledged.
   bool awaits_acknowledgement = false;
+  // Whether the peer has answered a repeated segment or a window probe but left
+  // no room for more data since.
+  bool has_answered_retry = false;
   // Number of window probes since the peer last acknowledged anything.
   int unanswered_probes = 0;
   // Time since the peer last acknowledged anything.
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -157,9 +157,8 @@
 // The kernel's timeout also ends a connection whose peer acknowledges every
 // window probe but has read nothing for that time. A request longer than the
 // buffers of both kernels was cut off by it although the endpoint was about to
-// read on. Once the kernel has shown that it knows when the peer answered, this
-// check replaces the timeout. Elsewhere, and for short requests, the timeout
-// stays.
+// read on. Once the peer has answered a window probe, this check replaces the
+// timeout. Elsewhere, and for short requests, the timeout stays.
 void EndpointExchange::WatchPeer() {
   peer_check_.expires_after(kPeerCheckInterval);
   peer_check_.async_wait(
@@ -180,10 +179,8 @@
     Abort(SendResult::kBroken);
     return;
   }
-  const bool has_answered = !progress->awaits_acknowledgement &&
-                            progress->unanswered_probes == 0 &&
-                            progress->since_answer.count() > 0;
-  if (progress->has_pending && has_answered && !is_timeout_off_) {
+  if (progress->has_pending && progress->has_answered_retry &&
+      !is_timeout_off_) {
     is_timeout_off_ = true;
     SetUnacknowledgedTimeout(socket, std::chrono::milliseconds(0));
   }
--- a/tests/core/test_tcp_liveness.cc
+++ b/tests/core/test_tcp_liveness.cc
@@ -38,8 +38,9 @@
   SilenceDetector detector(milliseconds(1000));
   const TimePoint start;
   const auto is_silent = [&](int at, bool awaits, int since_answer) {
-    return detector.IsSilent({true, awaits, 0, milliseconds(since_answer)},
-                             start + milliseconds(at));
+    return detector.IsSilent(
+        {true, awaits, false, 0, milliseconds(since_answer)},
+        start + milliseconds(at));
   };
   CHECK(!is_silent(0, false, 5000));
   // A connection that was idle for long: the time counts from the first check.
@@ -60,8 +61,9 @@
   SilenceDetector detector(milliseconds(1000));
   const TimePoint start;
   const auto is_silent = [&](int at, int probes, int since_answer) {
-    return detector.IsSilent({true, false, probes, milliseconds(since_answer)},
-                             start + milliseconds(at));
+    return detector.IsSilent(
+        {true, false, false, probes, milliseconds(since_answer)},
+        start + milliseconds(at));
   };
   CHECK(!is_silent(700, 1, 450));
   CHECK(!is_silent(1600, 1, 1350));
