--- a/proxy/call_sends.cc
+++ b/proxy/call_sends.cc
@@ -151,7 +151,7 @@
   send->exchange = std::make_shared<EndpointExchange>(
       loop_.context().get_executor(), loop_.pool(), placement.target,
       state_.options().exchange, names());
-  AvoidSharedConnections(*send->exchange);
+  send->exchange->AvoidConnections(connections_);
   if (call_.claim) {
     call_.claim->MarkSent();
   }
@@ -164,8 +164,6 @@
   return send;
 }
 
-void CallSends::AvoidSharedConnections(EndpointExchange& /*exchange*/) const {}
-
 void CallSends::Start(const SendPtr& send) {
   asio::co_spawn(loop_.context(),
                  send->exchange->Run(*send->request, send->offer.deadline,
@@ -178,6 +176,7 @@
                      result.wrote = true;
                    }
                    send->result = std::move(result);
+                   self->connections_.push_back(send->result->connection);
                    self->OnStartedSendEnd(send);
                  });
 }
@@ -200,6 +199,7 @@
   if (!call_.may_be_hedged) {
     first_->result = co_await first_->exchange->Run(
         *first_->request, first_->offer.deadline, first_->expected_call);
+    connections_.push_back(first_->result->connection);
     co_return;
   }
   Start(first_);
--- a/proxy/call_sends.h
+++ b/proxy/call_sends.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "policy/call_offer.h"
 #include "policy/call_outcome.h"
@@ -103,8 +104,6 @@
   SendPtr MakeSend(std::shared_ptr<HttpRequest> request,
                    const Placement& placement,
                    const CallOffer& offer);
-  // Keeps the send off the connections that other sends of this call use.
-  void AvoidSharedConnections(EndpointExchange& exchange) const;
   // Runs the sends that begin with `first_` until one is answered or all have
   // ended.
   asio::awaitable<void> AwaitAnswer();
@@ -156,6 +155,9 @@
   // none is in flight.
   SendPtr first_;
   SendPtr hedge_;
+  // The connections of the sends that have ended; no later send may use them,
+  // because late copies of their answers name the same call.
+  std::vector<ConnectionId> connections_;
   Duration at_endpoints_{};
   int count_ = 0;
   EndpointId last_endpoint_;
