Pace the return of refused callers

Cause: refused callers returned together after the same short delay, were refused again and lost their time. Nothing decided the order in which they return.

Change: policy/return_pacing spaces the returns by the capacity expected over all hosts (this host's rate of answers times the hosts, or a view of the fleet set by SetFleetCapacity), urgent ones first, within what callers honour and what is useful to them. Both balancers use it for Retry-After. Where an endpoint could serve the call on time now, the delay stays as it is. Waiting calls of returning callers go first within their urgency and customer, and MeasuredBalancer accepts them with a margin of 1.25 in place of 1.5. Off by default (proxy.return_pacing_factor), and only for routes whose timeout is at least that multiple of their objective.

--- a/policy/balancer.h
+++ b/policy/balancer.h
@@ -75,6 +75,10 @@
   std::uint64_t slack_placements = 0;
   std::uint64_t slack_refusals = 0;
   bool is_capacity_short = false;
+  // Returns of refused callers that ReturnPacing delayed, and those for which
+  // there was no capacity in time.
+  std::uint64_t returns_paced = 0;
+  std::uint64_t returns_over_capacity = 0;
 };
 
 // Makes all decisions for one service on one host: which calls wait, which
--- a/policy/call_offer.h
+++ b/policy/call_offer.h
@@ -82,6 +82,9 @@
   // Fraction of the probed endpoints that had a free slot at the usual pace;
   // set if SlackPlacement made the decision.
   std::optional<double> good_share = std::nullopt;
+  // Calls a second that all hosts are expected to serve; set if ReturnPacing
+  // determined the time after which the caller should return.
+  std::optional<double> paced_by = std::nullopt;
 
   bool operator==(const DecisionBasis&) const = default;
 };
--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -16,6 +16,12 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(15);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(1);
 
+// Margin in place of `on_time_margin` for a caller that returns after a
+// refusal, so that its call is accepted at a fill at which a first attempt is
+// refused. Half of the usual margin still covers most variations of the
+// execution time.
+constexpr double kReturningOnTimeMargin = 1.25;
+
 // Returns a random number from 0 to 1.
 double RandomFraction(Random& random) {
   constexpr std::uint32_t kSteps = 1U << 16U;
@@ -39,6 +45,7 @@
   retries_.SetFleet(hosts, service.endpoints.size(), now);
   probes_.Share(service.endpoints.size(), hosts, now);
   endpoints_.SetService(service, hosts, now);
+  pacing_.SetHosts(hosts);
   slack_.SetEnabled(options_.slack_placement &&
                     service.route_mix.has_mixed_objectives);
 }
@@ -57,8 +64,9 @@
 bool MeasuredBalancer::IsOnTime(const WaitingCall& call,
                                 const MeasuredCandidate& best,
                                 TimePoint now) const {
-  return now + Scaled(best.finish, options_.on_time_margin) <=
-         call.offer.on_time_until;
+  const double margin = IsPacedReturn(call.offer) ? kReturningOnTimeMargin
+                                                  : options_.on_time_margin;
+  return now + Scaled(best.finish, margin) <= call.offer.on_time_until;
 }
 
 // Used if the call is on time at no endpoint: it is sent to one with a free
@@ -187,8 +195,10 @@
 
 void MeasuredBalancer::Admit(WaitingCall call, TimePoint now, Decisions& out) {
   endpoints_.GuessUsualTime(call.offer);
-  if (slack_.is_enabled()) {
-    call.rank = {false, MustStartBy(call.offer)};
+  if (slack_.is_enabled() || IsPaced(call.offer)) {
+    call.rank = {
+        IsPaced(call.offer) && !IsPacedReturn(call.offer),
+        slack_.is_enabled() ? MustStartBy(call.offer) : call.offer.arrival};
   }
   queue_.Add(std::move(call), out.rejections);
   ProcessQueue(now, out);
@@ -219,10 +229,14 @@
       const WaitingCall call = head;
       queue_.Remove(call.offer.token);
       slack_refusals_ += decision.is_by_slack ? 1 : 0;
-      out.rejections.push_back(
-          {call.offer.token,
-           decision.best ? Refusal::kShed : Refusal::kNoEndpoint,
-           RetryAfter(call, decision.best, now), BasisOf(decision, now)});
+      Rejection rejection{call.offer.token,
+                          decision.best ? Refusal::kShed : Refusal::kNoEndpoint,
+                          PacedRetryAfter(call, decision.best, false, now),
+                          BasisOf(decision, now)};
+      if (IsPaced(call.offer)) {
+        rejection.basis.paced_by = pacing_.FleetCapacity(now);
+      }
+      out.rejections.push_back(std::move(rejection));
       return true;
     }
   }
@@ -243,6 +257,31 @@
   return std::min(wait, kMaxRetryAfter);
 }
 
+bool MeasuredBalancer::IsPaced(const CallOffer& offer) const {
+  return options_.return_pacing_factor > 0 &&
+         offer.timeout_factor >= options_.return_pacing_factor;
+}
+
+bool MeasuredBalancer::IsPacedReturn(const CallOffer& offer) const {
+  return IsPaced(offer) &&
+         returning_callers_.IsReturning(offer.customer, offer.asked);
+}
+
+Duration MeasuredBalancer::PacedRetryAfter(
+    const WaitingCall& call,
+    const std::optional<MeasuredCandidate>& best,
+    bool can_run_now,
+    TimePoint now) {
+  const Duration wait = RetryAfter(call, best, now);
+  if (!IsPaced(call.offer) || can_run_now) {
+    return wait;
+  }
+  const CallOffer& offer = call.offer;
+  return pacing_.Delay({offer.urgency, wait, offer.deadline - now,
+                        offer.on_time_until - now - endpoints_.usual_time()},
+                       now, random_);
+}
+
 DecisionBasis MeasuredBalancer::BasisOf(const Decision& decision,
                                         TimePoint now) const {
   const std::optional<MeasuredCandidate>& best = decision.best;
@@ -278,6 +317,9 @@
                                    Decisions& out) {
   endpoints_.OnSendEnd(end, now);
   retries_.OnSendEnd(end.result);
+  if (end.result == SendResult::kAnswered) {
+    pacing_.OnAnswered(now);
+  }
   if (!MayRetry(offer, end, now)) {
     ProcessQueue(now, out);
     return AfterSend::kDone;
@@ -290,10 +332,10 @@
                                           const SendEnd& end,
                                           TimePoint now) {
   const WaitingCall call{offer, end.endpoint};
-  return RetryAfter(call,
-                    endpoints_.Best(call, MeasuredEndpoints::CandidateSet::kAll,
-                                    now, random_),
-                    now);
+  const std::optional<MeasuredCandidate> best = endpoints_.Best(
+      call, MeasuredEndpoints::CandidateSet::kAll, now, random_);
+  const bool can_run_now = best && IsOnTime(call, *best, now);
+  return PacedRetryAfter(call, best, can_run_now, now);
 }
 
 // A first-time caller can try again by itself, which costs no retry; a
@@ -385,6 +427,8 @@
   status.retries_withheld = retries_withheld_;
   status.slack_placements = slack_placements_;
   status.slack_refusals = slack_refusals_;
+  status.returns_paced = pacing_.paced();
+  status.returns_over_capacity = pacing_.over_capacity();
   status.is_capacity_short = slack_.IsShort(now);
   return status;
 }
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -11,6 +11,7 @@
 #include "policy/measured_options.h"
 #include "policy/probe_planner.h"
 #include "policy/retry_budget.h"
+#include "policy/return_pacing.h"
 #include "policy/returning_caller_detector.h"
 #include "policy/slack_placement.h"
 
@@ -145,6 +146,16 @@
   Duration RetryAfter(const WaitingCall& call,
                       const std::optional<MeasuredCandidate>& best,
                       TimePoint now) const;
+  // The same, spread over time if the returns of the call's route are paced.
+  // `can_run_now` is whether an endpoint could serve the call on time now.
+  Duration PacedRetryAfter(const WaitingCall& call,
+                           const std::optional<MeasuredCandidate>& best,
+                           bool can_run_now,
+                           TimePoint now);
+  bool IsPaced(const CallOffer& offer) const;
+  // Whether the call's caller returns after a refusal, on a route whose returns
+  // are paced.
+  bool IsPacedReturn(const CallOffer& offer) const;
   bool IsLeftToCaller(const CallOffer& offer) const;
   bool MayRetry(const CallOffer& offer, const SendEnd& end, TimePoint now);
   void UpdateUnavailableSince(const WaitingCall& call,
@@ -159,6 +170,7 @@
   RetryBudget retries_;
   ReturningCallerDetector returning_callers_;
   SlackPlacement slack_;
+  ReturnPacing pacing_;
   // Time since which no endpoint has been able to take a call.
   std::optional<TimePoint> unavailable_since_;
   std::uint64_t retries_granted_ = 0;
--- a/policy/service_balancer.cc
+++ b/policy/service_balancer.cc
@@ -8,6 +8,10 @@
 
 namespace {
 
+// Lower bound of a paced Retry-After: the time in which a slot may become free
+// at the host that the caller reaches next.
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(15);
+
 std::size_t Index(Urgency urgency) {
   return static_cast<std::size_t>(urgency);
 }
@@ -33,6 +37,7 @@
                                  TimePoint now) {
   hosts_ = std::max<std::int64_t>(hosts, 1);
   table_.SetService(service, hosts_, now);
+  pacing_.SetHosts(hosts_);
   orders_by_slack_ =
       options_.slack_placement && service.route_mix.has_mixed_objectives;
 }
@@ -40,7 +45,47 @@
 void ServiceBalancer::Offer(const CallOffer& offer,
                             TimePoint now,
                             Decisions& out) {
+  if (!IsPaced(offer)) {
+    Admit(WaitingCall{offer, std::nullopt}, now, out);
+    return;
+  }
+  returning_callers_.Record(offer.customer, offer.asked, now);
+  const std::size_t before = out.rejections.size();
   Admit(WaitingCall{offer, std::nullopt}, now, out);
+  for (std::size_t n = before; n < out.rejections.size(); ++n) {
+    Rejection& it = out.rejections[n];
+    if (it.token == offer.token) {
+      it.retry_after = PacedRetryAfter(offer, now);
+      it.basis.paced_by = pacing_.FleetCapacity(now);
+    }
+  }
+}
+
+bool ServiceBalancer::IsPaced(const CallOffer& offer) const {
+  return options_.return_pacing_factor > 0 &&
+         offer.timeout_factor >= options_.return_pacing_factor;
+}
+
+Duration ServiceBalancer::PacedRetryAfter(const CallOffer& offer,
+                                          TimePoint now) {
+  if (!IsPaced(offer)) {
+    return Duration::zero();
+  }
+  const Duration least = MinServiceTime(offer.urgency);
+  return std::max(
+      pacing_.Delay({offer.urgency, kMinRetryAfter, offer.deadline - now,
+                     offer.on_time_until - now - least},
+                    now, random_),
+      kMinRetryAfter);
+}
+
+Duration ServiceBalancer::RetryAfterSend(const CallOffer& offer,
+                                         const SendEnd& /*end*/,
+                                         TimePoint now) {
+  if (IsPaced(offer) && table_.FreeSlots(now) >= 1) {
+    return kMinRetryAfter;
+  }
+  return PacedRetryAfter(offer, now);
 }
 
 void ServiceBalancer::Admit(WaitingCall call, TimePoint now, Decisions& out) {
@@ -67,8 +112,13 @@
   if (queue_.Waiting(urgency) == 0) {
     last_served_[Index(urgency)] = now;
   }
-  if (orders_by_slack_) {
-    call.rank = {false, call.offer.on_time_until - MinServiceTime(urgency)};
+  if (orders_by_slack_ || IsPaced(call.offer)) {
+    const bool is_returning =
+        returning_callers_.IsReturning(call.offer.customer, call.offer.asked);
+    call.rank = {IsPaced(call.offer) && !is_returning,
+                 orders_by_slack_
+                     ? call.offer.on_time_until - MinServiceTime(urgency)
+                     : call.offer.arrival};
   }
   queue_.Add(std::move(call), out.rejections);
   ProcessQueue(now, out);
@@ -101,7 +151,7 @@
   if (end.report) {
     table_.OnReport(end.endpoint, *end.report, now);
   }
-  Learn(offer, end);
+  Learn(offer, end, now);
   retries_.OnSendEnd(end.result);
   if (!MayRetry(offer, end, now)) {
     ProcessQueue(now, out);
@@ -112,12 +162,15 @@
   return AfterSend::kRetry;
 }
 
-void ServiceBalancer::Learn(const CallOffer& offer, const SendEnd& end) {
+void ServiceBalancer::Learn(const CallOffer& offer,
+                            const SendEnd& end,
+                            TimePoint now) {
   // Failures and sheds are often fast and would make the service look faster
   // than it is.
   if (end.result != SendResult::kAnswered) {
     return;
   }
+  pacing_.OnAnswered(now);
   service_times_[Index(offer.urgency)].Learn(end.took);
   const Duration execution =
       execution_time_.Estimate(end.took, RoundTripTo(end.endpoint), end.report);
@@ -337,6 +390,8 @@
   }
   status.retries_granted = retries_granted_;
   status.retries_withheld = retries_withheld_;
+  status.returns_paced = pacing_.paced();
+  status.returns_over_capacity = pacing_.over_capacity();
   return status;
 }
 
--- a/policy/service_balancer.h
+++ b/policy/service_balancer.h
@@ -17,6 +17,8 @@
 #include "policy/endpoint_table.h"
 #include "policy/execution_time.h"
 #include "policy/retry_budget.h"
+#include "policy/return_pacing.h"
+#include "policy/returning_caller_detector.h"
 #include "policy/service_time_estimate.h"
 #include "policy/trunk_reservation.h"
 
@@ -56,6 +58,9 @@
                    const SendEnd& end,
                    TimePoint now,
                    Decisions& out) override;
+  Duration RetryAfterSend(const CallOffer& offer,
+                          const SendEnd& end,
+                          TimePoint now) override;
   void Report(EndpointIndex endpoint,
               const EndpointReport& report,
               TimePoint now,
@@ -114,9 +119,13 @@
             EndpointIndex endpoint,
             TimePoint now,
             Decisions& out);
+  // Whether the returns of the call's route are paced.
+  bool IsPaced(const CallOffer& offer) const;
+  // Returns the paced delay for a refused call; zero if it is not paced.
+  Duration PacedRetryAfter(const CallOffer& offer, TimePoint now);
   bool HasPrecedence(Urgency urgency) const;
   bool MayRetry(const CallOffer& offer, const SendEnd& end, TimePoint now);
-  void Learn(const CallOffer& offer, const SendEnd& end);
+  void Learn(const CallOffer& offer, const SendEnd& end, TimePoint now);
   // Network round-trip time to the endpoint.
   Duration RoundTripTo(EndpointIndex endpoint) const;
   Duration MinServiceTime(Urgency urgency) const;
@@ -129,6 +138,8 @@
   AdmissionQueue queue_;
   TrunkReservation reservation_;
   RetryBudget retries_;
+  ReturnPacing pacing_;
+  ReturningCallerDetector returning_callers_;
   std::array<ServiceTimeEstimate, kUrgencyCount> service_times_;
   ExecutionTime execution_time_;
   // Time of the last dispatch of each urgency, or the time at which it began to
--- a/proxy/call_log.cc
+++ b/proxy/call_log.cc
@@ -21,6 +21,9 @@
   if (basis.good_share) {
     parts += fmt::format(" good_share={:.2f}", *basis.good_share);
   }
+  if (basis.paced_by) {
+    parts += fmt::format(" paced_by={:.0f}", *basis.paced_by);
+  }
   return parts;
 }
 
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -66,11 +66,13 @@
   if (options_.measures_before_sending) {
     MeasuredBalancerOptions options = options_.measured;
     options.slack_placement = options_.slack_placement;
+    options.return_pacing_factor = options_.return_pacing_factor;
     return std::make_unique<MeasuredBalancer>(std::move(options),
                                               std::random_device()());
   }
   BalancerOptions options = options_.balancer;
   options.slack_placement = options_.slack_placement;
+  options.return_pacing_factor = options_.return_pacing_factor;
   return std::make_unique<ServiceBalancer>(std::move(options),
                                            std::random_device()());
 }
@@ -155,7 +157,9 @@
       << "# TYPE damasktack_service_reachable gauge\n"
       << "# TYPE damasktack_capacity_short gauge\n"
       << "# TYPE damasktack_slack_placements_total counter\n"
-      << "# TYPE damasktack_slack_refusals_total counter\n";
+      << "# TYPE damasktack_slack_refusals_total counter\n"
+      << "# TYPE damasktack_returns_paced_total counter\n"
+      << "# TYPE damasktack_returns_over_capacity_total counter\n";
   for (const auto& [id, dispatcher] : dispatchers()) {
     const std::string label = "{service=\"" + id.text() + "\"} ";
     const ProbeCost cost = dispatcher->probe_cost();
@@ -170,7 +174,11 @@
         << "damasktack_slack_placements_total" << label
         << status.slack_placements << "\n"
         << "damasktack_slack_refusals_total" << label << status.slack_refusals
-        << "\n";
+        << "\n"
+        << "damasktack_returns_paced_total" << label << status.returns_paced
+        << "\n"
+        << "damasktack_returns_over_capacity_total" << label
+        << status.returns_over_capacity << "\n";
   }
   return out.str();
 }
--- a/tests/policy/balancer_load.h
+++ b/tests/policy/balancer_load.h
@@ -120,6 +120,10 @@
   void Refuse(CallToken token, Duration retry_after) {
     Call call = std::move(calls_.extract(token).mapped());
     ++results_[call.route].refusals;
+    // Zero stands for the default of the failure, which is 1 s.
+    if (retry_after == Duration::zero()) {
+      retry_after = std::chrono::seconds(1);
+    }
     const Duration left = call.began + call.load.timeout - now_;
     Attempt(std::move(call),
             now_ + std::clamp<Duration>(retry_after, kStep,
--- a/tests/policy/test_admission_queue.cc
+++ b/tests/policy/test_admission_queue.cc
@@ -199,5 +199,23 @@
   CHECK(queue.Head(Urgency::kNormal)->offer.token == 1);
 }
 
+TEST_CASE("calls of a customer are ordered by their rank if they have one") {
+  AdmissionQueue queue(AdmissionOptions{});
+  std::vector<Rejection> refused;
+  const auto add = [&](CallToken token, bool is_first_attempt, int at_ms) {
+    WaitingCall call = Call(token, "park", Urgency::kNormal);
+    call.rank = {is_first_attempt, kStart + milliseconds(at_ms)};
+    queue.Add(call, refused);
+  };
+  add(1, true, 30);
+  add(2, true, 10);
+  add(3, false, 90);
+  add(4, true, 20);
+  CHECK(queue.Remove(4));
+  CHECK(queue.Take(Urgency::kNormal).offer.token == 3);
+  CHECK(queue.Take(Urgency::kNormal).offer.token == 2);
+  CHECK(queue.Take(Urgency::kNormal).offer.token == 1);
+}
+
 }  // namespace
 }  // namespace damasktack
