--- a/policy/service_balancer.h
+++ b/policy/service_balancer.h
@@ -18,6 +18,8 @@
 #include "policy/execution_time.h"
 #include "policy/hedging.h"
 #include "policy/retry_budget.h"
+#include "policy/return_pacing.h"
+#include "policy/returning_caller_detector.h"
 #include "policy/service_time_estimate.h"
 #include "policy/trunk_reservation.h"
 
@@ -60,6 +62,9 @@
                    Decisions& out) override;
   HedgeDecision DecideHedge(const HedgeRequest& request,
                             TimePoint now) override;
+  Duration RetryAfterSend(const CallOffer& offer,
+                          const SendEnd& end,
+                          TimePoint now) override;
   void Report(EndpointIndex endpoint,
               const EndpointReport& report,
               TimePoint now,
@@ -118,10 +123,14 @@
             EndpointIndex endpoint,
             TimePoint now,
             Decisions& out);
+  // Whether the returns of the call's route are paced.
+  bool IsPaced(const CallOffer& offer) const;
+  // Returns the paced delay for a refused call; zero if it is not paced.
+  Duration PacedRetryAfter(const CallOffer& offer, TimePoint now);
   bool HasPrecedence(Urgency urgency) const;
   int AttemptLimit(const CallOffer& offer) const;
   bool MayRetry(const CallOffer& offer, const SendEnd& end, TimePoint now);
-  void Learn(const CallOffer& offer, const SendEnd& end);
+  void Learn(const CallOffer& offer, const SendEnd& end, TimePoint now);
   // Network round-trip time to the endpoint.
   Duration RoundTripTo(EndpointIndex endpoint) const;
   Duration MinServiceTime(Urgency urgency) const;
@@ -135,6 +144,8 @@
   TrunkReservation reservation_;
   RetryBudget retries_;
   Hedging hedging_;
+  ReturnPacing pacing_;
+  ReturningCallerDetector returning_callers_;
   std::array<ServiceTimeEstimate, kUrgencyCount> service_times_;
   ExecutionTime execution_time_;
   // Time of the last dispatch of each urgency, or the time at which it began to
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -67,12 +67,14 @@
     MeasuredBalancerOptions options = options_.measured;
     options.hedge = options_.hedge;
     options.slack_placement = options_.slack_placement;
+    options.return_pacing_factor = options_.return_pacing_factor;
     return std::make_unique<MeasuredBalancer>(std::move(options),
                                               std::random_device()());
   }
   BalancerOptions options = options_.balancer;
   options.hedge = options_.hedge;
   options.slack_placement = options_.slack_placement;
+  options.return_pacing_factor = options_.return_pacing_factor;
   return std::make_unique<ServiceBalancer>(std::move(options),
                                            std::random_device()());
 }
@@ -158,7 +160,9 @@
       << "# TYPE damasktack_service_reachable gauge\n"
       << "# TYPE damasktack_capacity_short gauge\n"
       << "# TYPE damasktack_slack_placements_total counter\n"
-      << "# TYPE damasktack_slack_refusals_total counter\n";
+      << "# TYPE damasktack_slack_refusals_total counter\n"
+      << "# TYPE damasktack_returns_paced_total counter\n"
+      << "# TYPE damasktack_returns_over_capacity_total counter\n";
   for (const auto& [id, dispatcher] : dispatchers()) {
     const std::string label = "{service=\"" + id.text() + "\"} ";
     const BalancerStatus status = dispatcher->Status(now);
@@ -175,7 +179,11 @@
         << "damasktack_slack_placements_total" << label
         << status.slack_placements << "\n"
         << "damasktack_slack_refusals_total" << label << status.slack_refusals
-        << "\n";
+        << "\n"
+        << "damasktack_returns_paced_total" << label << status.returns_paced
+        << "\n"
+        << "damasktack_returns_over_capacity_total" << label
+        << status.returns_over_capacity << "\n";
   }
   return out.str();
 }
