--- a/fleet/fleet_core.cc
+++ b/fleet/fleet_core.cc
@@ -20,6 +20,10 @@
   if (options_.gates.rates != nullptr) {
     rates_.emplace(*options_.gates.rates, FleetTopology::kMesh);
   }
+  if (options_.gates.overload != nullptr) {
+    overload_.emplace(*options_.gates.overload, FleetTopology::kMesh,
+                      random_seed);
+  }
   if (options_.gates.quarantine != nullptr) {
     crashes_.emplace(*options_.gates.quarantine);
   }
--- a/fleet/fleet_core.h
+++ b/fleet/fleet_core.h
@@ -13,6 +13,7 @@
 #include "fleet/fleet_claim_gate.h"
 #include "fleet/fleet_limit_gate.h"
 #include "fleet/membership.h"
+#include "fleet/overload/overload_exchange.h"
 
 namespace damasktack {
 
@@ -22,6 +23,7 @@
   FleetClaimGate* claims = nullptr;
   RequestQuarantine* quarantine = nullptr;
   EndpointRates* rates = nullptr;
+  OverloadView* overload = nullptr;
 };
 
 struct FleetCoreOptions {
@@ -114,6 +116,9 @@
     if (rates_) {
       body(*rates_);
     }
+    if (overload_) {
+      body(*overload_);
+    }
   }
 
   void BeginCheck(TimePoint now);
@@ -131,6 +136,8 @@
   std::optional<CrashExchange> crashes_;
   // Null if endpoint rates are not exchanged.
   std::optional<EndpointRateExchange> rates_;
+  // Null if loads are not exchanged.
+  std::optional<OverloadExchange> overload_;
   Outbox out_;
   FleetCounters counters_;
 
--- a/fleet/peer_message.h
+++ b/fleet/peer_message.h
@@ -10,6 +10,7 @@
 #include "fleet/endpoint_rate_messages.h"
 #include "fleet/limit_messages.h"
 #include "fleet/membership_messages.h"
+#include "fleet/overload/overload_messages.h"
 #include "fleet/published_messages.h"
 #include "fleet/relay_messages.h"
 
@@ -46,7 +47,9 @@
                                  CrashReport,
                                  EndpointRateReport,
                                  RelayOffers,
-                                 RelayPeers>;
+                                 RelayPeers,
+                                 ServiceLoadReport,
+                                 ServiceLoadSum>;
 
 }  // namespace damasktack
 
--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -56,6 +56,11 @@
   rate_exchange_.emplace(rates, FleetTopology::kStar);
 }
 
+void PublishedLoop::ShareOverload(OverloadView& overload) {
+  overload_exchange_.emplace(overload, FleetTopology::kStar,
+                             std::random_device()());
+}
+
 void PublishedLoop::ShareRelays(RelayDirectory& relays) {
   relay_exchange_.emplace(relays, std::random_device()());
 }
@@ -93,6 +98,7 @@
   apply(crashes_);
   apply(rate_exchange_);
   apply(relay_exchange_);
+  apply(overload_exchange_);
 }
 
 void PublishedLoop::ConnectExchanges() {
@@ -299,6 +305,22 @@
   }
 }
 
+void PublishedLoop::ExchangeOverload(const HostId& host,
+                                     const PeerMessage& message) {
+  if (!overload_exchange_) {
+    return;
+  }
+  if (const auto* hello = std::get_if<FeedHello>(&message)) {
+    const bool is_seed = hello->rank != FeedHello::kNoSeed;
+    overload_exchange_->OnPeer(
+        host, is_seed ? OverloadPeerRole::kSeed : OverloadPeerRole::kFollower);
+  } else if (const auto* report = std::get_if<ServiceLoadReport>(&message)) {
+    overload_exchange_->OnReport(host, *report, Clock::now(), out_);
+  } else if (const auto* sum = std::get_if<ServiceLoadSum>(&message)) {
+    overload_exchange_->OnSum(host, *sum, Clock::now(), out_);
+  }
+}
+
 template <typename Exchange>
 void PublishedLoop::SendExchangeUpdate(std::optional<Exchange>& exchange) {
   Outbox out;
@@ -331,6 +353,9 @@
   if (relay_exchange_) {
     relay_exchange_->OnPeerGone(HostId(host), out_);
   }
+  if (overload_exchange_) {
+    overload_exchange_->OnPeerGone(HostId(host));
+  }
 }
 
 void PublishedLoop::OnFrame(const std::string& host,
@@ -347,6 +372,7 @@
         ExchangeCrashes(HostId(host), *message);
         ExchangeRates(HostId(host), *message);
         ExchangeRelays(HostId(host), *message);
+        ExchangeOverload(HostId(host), *message);
         PublishChanges(lock);
         return {};
       },
--- a/fleet/published_loop.h
+++ b/fleet/published_loop.h
@@ -11,6 +11,7 @@
 
 #include "fleet/crash_exchange.h"
 #include "fleet/endpoint_rate_exchange.h"
+#include "fleet/overload/overload_exchange.h"
 #include "fleet/published_feed.h"
 #include "fleet/published_source.h"
 #include "fleet/relay_exchange.h"
@@ -54,6 +55,9 @@
   void ShareCrashes(RequestQuarantine& quarantine);
   // Shares the rate limits stated by endpoints, under the same conditions.
   void ShareRates(EndpointRates& rates);
+  // Shares the loads of services that are short of slots, under the same
+  // conditions.
+  void ShareOverload(OverloadView& overload);
   // Finds peers for relayed calls, under the same conditions.
   void ShareRelays(RelayDirectory& relays);
   // Starts the loop. Without a transport (null) this host only reads the store.
@@ -92,6 +96,7 @@
   void ExchangeCrashes(const HostId& host, const PeerMessage& message);
   void ExchangeRates(const HostId& host, const PeerMessage& message);
   void ExchangeRelays(const HostId& host, const PeerMessage& message);
+  void ExchangeOverload(const HostId& host, const PeerMessage& message);
   // Sends pending reports of an exchange. Runs on the thread of the request
   // that produced them, because the loop thread may be waiting for the store.
   template <typename Exchange>
@@ -118,6 +123,7 @@
   std::optional<CrashExchange> crashes_;
   std::optional<EndpointRateExchange> rate_exchange_;
   std::optional<RelayExchange> relay_exchange_;
+  std::optional<OverloadExchange> overload_exchange_;
   Outbox out_;
   std::vector<SocketAddress> seeds_;
   // Fleet size last reported to the owner.
