Less urgent calls are refused first while a service is short of slots

Cause: MeasuredBalancer refuses calls of all urgencies alike above the capacity.

Change: ServiceDispatcher asks the admission by urgency before Balancer::Offer and reports refusals, ends of calls and reports to it; hosts share their loads over the feed's links and the full mesh. Off unless proxy.urgency_admission is set and routes or contracts of two urgencies lead to the service. ServiceDispatcher::Capacity states what a service is expected to serve.

--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -50,10 +50,13 @@
       state_(settings_.proxy, limits_, claims_),
       callers_(state_),
       admin_(settings_.admin, *this),
-      fleet_(MakeFleetOptions(settings_,
-                              incarnation_,
-                              {&limits_, &claims_, &state_.quarantine(),
-                               &state_.endpoint_rates()}),
+      fleet_(MakeFleetOptions(
+                 settings_,
+                 incarnation_,
+                 {&limits_, &claims_, &state_.quarantine(),
+                  &state_.endpoint_rates(),
+                  settings_.proxy.urgency_admission ? &state_.overload_view()
+                                                    : nullptr}),
              *this) {
   if (!settings_.fleet.enabled) {
     limits_.SetStandalone();
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -169,6 +169,9 @@
       transport_(MakeTransport(settings_, published_)) {
   published_.ShareCrashes(state_.quarantine());
   published_.ShareRates(state_.endpoint_rates());
+  if (settings_.proxy.urgency_admission) {
+    published_.ShareOverload(state_.overload_view());
+  }
   published_.ShareRelays(state_.relay_directory());
 }
 
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -80,6 +80,9 @@
         }
       });
   dispatcher->SetHostNumber(host_number_);
+  if (options_.urgency_admission) {
+    dispatcher->SetOverloadView(overload_view_);
+  }
   if (options_.relay.enabled()) {
     dispatcher->SetWhenUnreachable(
         WhenUnreachable::kRefuse,
@@ -149,6 +152,17 @@
       << "# TYPE damasktack_probe_bytes_total counter\n"
       << "# TYPE damasktack_calls_waiting gauge\n"
       << "# TYPE damasktack_service_reachable gauge\n";
+  if (options_.urgency_admission) {
+    out << "# TYPE damasktack_overload_statements_sent_total counter\n"
+        << "damasktack_overload_statements_sent_total " << overload_view_.sent()
+        << "\n"
+        << "# TYPE damasktack_overload_statements_received_total counter\n"
+        << "damasktack_overload_statements_received_total "
+        << overload_view_.received() << "\n"
+        << "# TYPE damasktack_urgency_short gauge\n"
+        << "# TYPE damasktack_urgency_admitted_fraction gauge\n"
+        << "# TYPE damasktack_urgency_refused_total counter\n";
+  }
   for (const auto& [id, dispatcher] : dispatchers()) {
     const std::string label = "{service=\"" + id.text() + "\"} ";
     const ProbeCost cost = dispatcher->probe_cost();
@@ -158,6 +172,7 @@
         << dispatcher->Status(now).waiting << "\n"
         << "damasktack_service_reachable" << label << dispatcher->IsReachable()
         << "\n";
+    dispatcher->RenderOverload(out);
   }
   return out.str();
 }
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -13,6 +13,7 @@
 #include "fleet/claim_gate.h"
 #include "fleet/endpoint_rates.h"
 #include "fleet/limit_gate.h"
+#include "fleet/overload/overload_view.h"
 #include "fleet/relay_directory.h"
 #include "fleet/request_quarantine.h"
 #include "policy/measured_balancer.h"
@@ -83,6 +84,7 @@
   ClaimGate& claims() { return claims_; }
   RequestQuarantine& quarantine() { return quarantine_; }
   EndpointRates& endpoint_rates() { return endpoint_rates_; }
+  OverloadView& overload_view() { return overload_view_; }
   CallMetrics& metrics() { return metrics_; }
   const CallMetrics& metrics() const { return metrics_; }
   ProxyCounters& counters() { return counters_; }
@@ -147,6 +149,7 @@
   ClaimGate& claims_;
   RequestQuarantine quarantine_;
   EndpointRates endpoint_rates_;
+  OverloadView overload_view_;
   CallMetrics metrics_;
   ProxyCounters counters_;
   CallLog call_log_;
--- a/proxy/routing_table.cc
+++ b/proxy/routing_table.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 #include <utility>
 
 #include "wire/hex.h"
@@ -50,6 +51,17 @@
 RoutingTable::RoutingTable(const ContractList& contracts,
                            const ServiceList& services)
     : contracts_(contracts.contracts), services_(services.services) {
+  for (ServiceSpec& service : services_) {
+    std::set<Urgency> urgencies;
+    for (const Contract& contract : contracts_) {
+      for (const RequestRule& it : contract.requests) {
+        if (it.service == service.id) {
+          urgencies.insert(it.urgency);
+        }
+      }
+    }
+    service.route_mix.urgencies = urgencies.size();
+  }
   std::ranges::sort(services_, [](const ServiceSpec& a, const ServiceSpec& b) {
     return a.prefix.size() > b.prefix.size();
   });
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "policy/scaled_time.h"
+
 namespace damasktack {
 
 namespace {
@@ -46,11 +48,27 @@
   service_ = service.id;
   health_path_ = service.health_path;
   balancer_->SetService(service, hosts, now);
+  overload_.SetService(service);
   const bool was_unreachable = reach_.is_unreachable();
   reach_.SetEndpoints(service.endpoints, now);
   LogReach(was_unreachable, reach_.SilentFor(now));
 }
 
+void ServiceDispatcher::SetOverloadView(OverloadView& view) {
+  const std::lock_guard lock(mutex_);
+  overload_.SetView(&view);
+}
+
+std::optional<ServiceCapacity> ServiceDispatcher::Capacity() const {
+  const std::lock_guard lock(mutex_);
+  return overload_.capacity();
+}
+
+void ServiceDispatcher::RenderOverload(std::ostream& out) const {
+  const std::lock_guard lock(mutex_);
+  overload_.Render(out);
+}
+
 void ServiceDispatcher::SetHostNumber(const HostNumber& host_number) {
   const std::lock_guard lock(mutex_);
   balancer_->SetHostNumber(host_number);
@@ -62,25 +80,51 @@
   Notices notices;
   {
     const std::lock_guard lock(mutex_);
-    waiting_.emplace(offer.token, std::move(on_placed));
+    waiting_.emplace(offer.token, WaitingEntry{std::move(on_placed),
+                                               offer.urgency, offer.deadline});
     Decisions decisions;
     if (RefusesCalls()) {
       decisions.rejections.push_back(
           {offer.token, Refusal::kUnreachable, kUnreachableRetryAfter});
     } else {
-      balancer_->Offer(offer, now, decisions);
+      OfferToBalancer(offer, now, decisions);
     }
     notices = EndEvent(decisions, now);
   }
   Notify(notices);
 }
 
+void ServiceDispatcher::OfferToBalancer(const CallOffer& offer,
+                                        TimePoint now,
+                                        Decisions& decisions) {
+  const UrgencyAdmission::Verdict verdict =
+      overload_.Decide(offer.urgency, now);
+  if (!verdict.is_admitted) {
+    waiting_.at(offer.token).is_refused_by_urgency = true;
+    decisions.rejections.push_back(
+        {offer.token, Refusal::kShed, ServiceOverload::kRetryAfter});
+  } else if (verdict.time_fraction < 1) {
+    CallOffer earlier = offer;
+    earlier.on_time_until =
+        now + Scaled(offer.on_time_until - now, verdict.time_fraction);
+    balancer_->Offer(earlier, now, decisions);
+  } else {
+    balancer_->Offer(offer, now, decisions);
+  }
+}
+
 bool ServiceDispatcher::Withdraw(CallToken token, TimePoint now) {
   const std::lock_guard lock(mutex_);
   if (!balancer_->Withdraw(token, now)) {
     return false;
   }
-  waiting_.erase(token);
+  const auto it = waiting_.find(token);
+  if (it != waiting_.end()) {
+    if (now >= it->second.deadline) {
+      overload_.OnRefused(it->second.urgency, Refusal::kDeadline, now);
+    }
+    waiting_.erase(it);
+  }
   return true;
 }
 
@@ -93,13 +137,15 @@
   std::optional<StatedRate> stated;
   {
     const std::lock_guard lock(mutex_);
-    waiting_.emplace(offer.token, std::move(on_placed));
+    waiting_.emplace(offer.token, WaitingEntry{std::move(on_placed),
+                                               offer.urgency, offer.deadline});
     // An endpoint that exceeds the call's deadline may only be slow.
     if (end.result != SendResult::kTimedOut) {
       RecordReach(end.endpoint, end.result, now - end.took, now);
     }
     if (end.report) {
       RecordDrain(end.endpoint, *end.report);
+      overload_.OnReport(*end.report);
     }
     if (end.signals) {
       stated = TakeSignals(end.endpoint, now, [&] {
@@ -110,6 +156,7 @@
     after = balancer_->Finish(offer, end, now, decisions);
     if (after == AfterSend::kDone) {
       waiting_.erase(offer.token);
+      overload_.OnCallEnd(offer, end, now);
     }
     notices = EndEvent(decisions, now);
   }
@@ -133,6 +180,7 @@
     const std::lock_guard lock(mutex_);
     RecordReach(endpoint, SendResult::kAnswered, now, now);
     RecordDrain(endpoint, report);
+    overload_.OnReport(report);
     Decisions decisions;
     balancer_->Report(endpoint, report, now, decisions);
     notices = EndEvent(decisions, now);
@@ -277,7 +325,8 @@
 }
 
 std::vector<ServiceDispatcher::Placed> ServiceDispatcher::Resolve(
-    const Decisions& decisions) {
+    const Decisions& decisions,
+    TimePoint now) {
   LogChanges();
   std::vector<Placed> placed;
   const auto take = [&](CallToken token, Placement placement) {
@@ -285,7 +334,12 @@
     if (it == waiting_.end()) {
       return;
     }
-    placed.push_back(Placed{std::move(it->second), std::move(placement)});
+    if (placement.refusal != Refusal::kNone &&
+        !it->second.is_refused_by_urgency) {
+      overload_.OnRefused(it->second.urgency, placement.refusal, now);
+    }
+    placed.push_back(
+        Placed{std::move(it->second.on_placed), std::move(placement)});
     waiting_.erase(it);
   };
   for (const Dispatch& it : decisions.dispatches) {
@@ -332,7 +386,7 @@
       continue;
     }
     placed.push_back(Placed{
-        std::move(it->second),
+        std::move(it->second.on_placed),
         Placement{Refusal::kUnreachable, 0, {}, kUnreachableRetryAfter}});
     it = waiting_.erase(it);
   }
@@ -342,7 +396,8 @@
     const Decisions& decisions,
     TimePoint now) {
   Notices notices;
-  notices.placed = Resolve(decisions);
+  notices.placed = Resolve(decisions, now);
+  notices.has_load = overload_.Update(now);
   RefuseUnreachable(now, notices.placed);
   notices.waiting = balancer_->waiting() > 0;
   const bool is_reachable = !reach_.is_unreachable();
@@ -386,6 +441,9 @@
   for (const Placed& it : notices.placed) {
     it.on_placed(it.placement);
   }
+  if (notices.has_load) {
+    overload_.NotifyPeers();
+  }
   if (notices.waiting && on_waiting_) {
     on_waiting_();
   }
--- a/proxy/service_dispatcher.h
+++ b/proxy/service_dispatcher.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <ostream>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -14,6 +15,7 @@
 #include "policy/balancer.h"
 #include "policy/endpoint_reach.h"
 #include "proxy/endpoint_pool.h"
+#include "proxy/service_overload.h"
 
 namespace damasktack {
 
@@ -81,6 +83,13 @@
   // Must be called before the first call. `on_reach` does not run within
   // SetService; the next event reports a change by it.
   void SetWhenUnreachable(WhenUnreachable when, OnReach on_reach);
+  // Restricts less urgent calls while the service is short of slots. Must be
+  // called before SetService; `view` must outlive the dispatcher.
+  void SetOverloadView(OverloadView& view);
+  // Returns what the service is expected to serve. Null unless SetOverloadView
+  // was called and routes of several urgencies lead to the service.
+  std::optional<ServiceCapacity> Capacity() const;
+  void RenderOverload(std::ostream& out) const;
   // See Balancer::SetHostNumber.
   void SetHostNumber(const HostNumber& host_number);
   void SetService(const ServiceSpec& service,
@@ -146,16 +155,31 @@
     ServiceId service;
     bool is_reachable = true;
   };
+  // A call that awaits its placement.
+  struct WaitingEntry {
+    OnPlaced on_placed;
+    Urgency urgency = Urgency::kNormal;
+    TimePoint deadline;
+    // The balancer was not asked, so the refusal does not count as missed.
+    bool is_refused_by_urgency = false;
+  };
   // What an event led to, for the callbacks.
   struct Notices {
     std::vector<Placed> placed;
     bool waiting = false;
+    // Whether peers must be sent this host's load.
+    bool has_load = false;
     std::optional<ReachChange> reach;
   };
 
+  // Offers the call to the balancer, unless less urgent calls are restricted.
+  // The caller must hold the lock.
+  void OfferToBalancer(const CallOffer& offer,
+                       TimePoint now,
+                       Decisions& decisions);
   // Converts the balancer's decisions into placements; the caller must hold the
   // lock.
-  std::vector<Placed> Resolve(const Decisions& decisions);
+  std::vector<Placed> Resolve(const Decisions& decisions, TimePoint now);
   // Refuses the calls that wait although the service is unreachable; the caller
   // must hold the lock.
   void RefuseUnreachable(TimePoint now, std::vector<Placed>& placed);
@@ -205,7 +229,8 @@
   bool reported_reachable_ = true;
   const std::unique_ptr<Balancer> balancer_;
   const std::function<void()> on_waiting_;
-  std::unordered_map<CallToken, OnPlaced> waiting_;
+  std::unordered_map<CallToken, WaitingEntry> waiting_;
+  ServiceOverload overload_;
   std::set<EndpointId> observed_drains_;
 };
 
--- a/tests/support/daemon_fleets.h
+++ b/tests/support/daemon_fleets.h
@@ -49,15 +49,24 @@
   return ports;
 }
 
+// Changes the settings of a host.
+using AdjustSettings = std::function<void(Settings&)>;
+
 // Load balancer hosts of a deployment with a store; calls to "a.example/x/" are
 // routed to the given endpoints.
 class StoreFleet {
  public:
-  StoreFleet(std::size_t hosts, const std::vector<std::uint16_t>& endpoints) {
-    store_.PutJson("op/config", R"({"version":3,"routes":{"columns":["name",
+  static constexpr auto kRoutes = R"({"version":3,"routes":{"columns":["name",
 "host","prefix","kind","timeout_ms","max_attempts","service"],"rows":[["r",
 "a.example","/x/","safe",2000,2,"s"]]},
-"services":{"columns":["name"],"rows":[["s"]]}})");
+"services":{"columns":["name"],"rows":[["s"]]}})";
+
+  StoreFleet(std::size_t hosts,
+             const std::vector<std::uint16_t>& endpoints,
+             const std::string& routes = kRoutes,
+             AdjustSettings adjust = {})
+      : adjust_(std::move(adjust)) {
+    store_.PutJson("op/config", routes);
     for (std::size_t n = 0; n < endpoints.size(); ++n) {
       store_.PutJson("servers/i-" + std::to_string(n),
                      R"({"address":"127.0.0.1:)" +
@@ -78,6 +87,8 @@
     return detail::CallerPorts(daemons_);
   }
 
+  const StoreDaemon& daemon(std::size_t n) const { return *daemons_[n]; }
+
   // The header with the call ID.
   static constexpr auto kCall = "X-Damasktack-Request-Id";
 
@@ -99,12 +110,16 @@
     settings.fleet.key = "a key of the fleet";
     settings.fleet.seeds = {seed};
     settings.stop.lag = Duration::zero();
+    if (adjust_) {
+      adjust_(settings);
+    }
     daemons_.push_back(std::make_unique<StoreDaemon>(settings));
     Try([&] { return daemons_.back()->Start(); },
         [](const Error& error) { FAIL(ToString(error)); });
     CHECK(detail::Eventually([&] { return daemons_.back()->Ready(); }));
   }
 
+  const AdjustSettings adjust_;
   StandinStore store_;
   std::vector<std::unique_ptr<StoreDaemon>> daemons_;
 };
@@ -113,15 +128,21 @@
 // the key "key" are routed to the given endpoints.
 class DocumentFleet {
  public:
+  static constexpr auto kRequests =
+      R"([{"service": "dispatch", "idempotent": true}])";
+
   DocumentFleet(std::size_t hosts,
-                const std::vector<std::uint16_t>& endpoints) {
+                const std::vector<std::uint16_t>& endpoints,
+                const std::string& requests = kRequests,
+                AdjustSettings adjust = {})
+      : adjust_(std::move(adjust)) {
     const std::uint16_t platform = platform_.Start(0);
     // The key is "key".
     platform_.Publish("contracts", R"({"contracts": [{"customer": "keepers",
       "key_sha256": [
 "2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683"],
-      "limits": {"in_flight": 2000},
-      "requests": [{"service": "dispatch", "idempotent": true}]}]})");
+      "limits": {"in_flight": 2000}, "requests": )" +
+                                       requests + "}]}");
     std::string list;
     for (std::size_t n = 0; n < endpoints.size(); ++n) {
       list += std::string(n == 0 ? "" : ",") + R"({"id": "e)" +
@@ -154,6 +175,8 @@
     return detail::CallerPorts(daemons_);
   }
 
+  const Daemon& daemon(std::size_t n) const { return *daemons_[n]; }
+
   // The header with the call ID.
   static constexpr auto kCall = "Damasktack-Call";
 
@@ -173,11 +196,15 @@
     settings.fleet.listen = address;
     settings.fleet.key = "a key of the fleet";
     settings.stop.lag = Duration::zero();
+    if (adjust_) {
+      adjust_(settings);
+    }
     daemons_.push_back(std::make_unique<Daemon>(settings));
     Try([&] { return daemons_.back()->Start(); },
         [](const Error& error) { FAIL(ToString(error)); });
   }
 
+  const AdjustSettings adjust_;
   StandinPlatform platform_;
   std::vector<std::unique_ptr<Daemon>> daemons_;
 };
