--- a/tests/fleet/test_overload.cc
+++ b/tests/fleet/test_overload.cc
@@ -187,7 +187,7 @@
         max = {std::max(max.bytes, it.bytes), std::max(max.time, it.time)};
       }
       const double seconds = std::chrono::duration<double>(kRun).count();
-      MESSAGE((topology == FleetTopology::kStar ? "star" : "mesh")
+      MESSAGE(std::string(topology == FleetTopology::kStar ? "star" : "mesh")
               << " hosts " << hosts << ": messages/s "
               << (fleet.messages() - messages) / seconds << ", bytes/s mean "
               << sum.bytes / hosts / seconds << " max " << max.bytes / seconds
--- a/tests/main/test_urgency_admission.cc
+++ b/tests/main/test_urgency_admission.cc
@@ -85,19 +85,21 @@
     const bool is_counted = began_at >= counted_from_;
     figures_.offered[urgency] += is_counted ? 1 : 0;
     boost::system::error_code ec;
-    const auto token = asio::redirect_error(asio::use_awaitable, ec);
     Tcp::socket socket(context_);
     const Tcp::endpoint peer(asio::ip::address_v4::loopback(), host);
-    co_await socket.async_connect(peer, token);
+    co_await socket.async_connect(
+        peer, asio::redirect_error(asio::use_awaitable, ec));
     http::request<http::empty_body> request(
         http::verb::get, prefix_ + (urgency == 0 ? "/u/c" : "/b/c"), 11);
     request.set(http::field::host, "a.example");
     request.set("Damasktack-Key", "key");
     request.set(StoreFleet::kCall, "c-" + std::to_string(id));
-    co_await http::async_write(socket, request, token);
+    co_await http::async_write(socket, request,
+                               asio::redirect_error(asio::use_awaitable, ec));
     boost::beast::flat_buffer buf;
     http::response<http::string_body> answer;
-    co_await http::async_read(socket, buf, answer, token);
+    co_await http::async_read(socket, buf, answer,
+                              asio::redirect_error(asio::use_awaitable, ec));
     const bool is_on_time = !ec && answer.result() == http::status::ok &&
                             Clock::now() - began_at <= kObjective;
     figures_.on_time[urgency] += is_counted && is_on_time ? 1 : 0;
@@ -177,7 +179,7 @@
                                  Enable(is_enabled, measures));
           const Figures it = OpenCallers(fleet.ports(), "")
                                  .Run(load * capacity, seconds(4), seconds(12));
-          MESSAGE((measures ? "measured" : "service")
+          MESSAGE(std::string(measures ? "measured" : "service")
                   << " hosts " << hosts << " enabled " << is_enabled << " load "
                   << load << ": urgent " << it.Served(0) << ", bulk "
                   << it.Served(1) << ", on time in 12 s "
