--- a/policy/urgency_admission.h
+++ b/policy/urgency_admission.h
@@ -53,7 +53,7 @@
   // Fraction of its time until the objective in which a less urgent call must
   // be expected to end. The rest of the queue at endpoints is left to more
   // urgent calls.
-  double time_fraction = 0.75;
+  double time_fraction = 0.85;
 };
 
 // The expected capacity of a service, in calls per second over this host and
