--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -88,6 +88,9 @@
         }
       });
   dispatcher->SetHostNumber(host_number_);
+  if (options_.urgency_admission) {
+    dispatcher->SetOverloadView(overload_view_);
+  }
   if (options_.relay.enabled()) {
     dispatcher->SetWhenUnreachable(
         WhenUnreachable::kRefuse,
@@ -163,6 +166,17 @@
       << "# TYPE damasktack_slack_refusals_total counter\n"
       << "# TYPE damasktack_returns_paced_total counter\n"
       << "# TYPE damasktack_returns_over_capacity_total counter\n";
+  if (options_.urgency_admission) {
+    out << "# TYPE damasktack_overload_statements_sent_total counter\n"
+        << "damasktack_overload_statements_sent_total " << overload_view_.sent()
+        << "\n"
+        << "# TYPE damasktack_overload_statements_received_total counter\n"
+        << "damasktack_overload_statements_received_total "
+        << overload_view_.received() << "\n"
+        << "# TYPE damasktack_urgency_short gauge\n"
+        << "# TYPE damasktack_urgency_admitted_fraction gauge\n"
+        << "# TYPE damasktack_urgency_refused_total counter\n";
+  }
   for (const auto& [id, dispatcher] : dispatchers()) {
     const std::string label = "{service=\"" + id.text() + "\"} ";
     const BalancerStatus status = dispatcher->Status(now);
@@ -184,6 +198,7 @@
         << "\n"
         << "damasktack_returns_over_capacity_total" << label
         << status.returns_over_capacity << "\n";
+    dispatcher->RenderOverload(out);
   }
   return out.str();
 }
