Placement by slack and pacing use the execution time of the call's route

Cause: both used the usual time of the service. In a service of long calls a short call would count as late everywhere and be refused under a shortage, and a long call would be sent to a slow endpoint where it is late.

Change: policy/route_times learns by how much calls of a route take longer than usual, only where one of the two parts is on. The basic decisions are unchanged.

--- a/policy/measured_balancer.cc
+++ b/policy/measured_balancer.cc
@@ -142,12 +142,14 @@
       endpoints_.FreshCandidates(call, now);
   std::vector<SlackCandidate> candidates;
   candidates.reserve(fresh.size());
+  const double factor = route_times_.FactorOf(call.offer.customer);
   for (const MeasuredCandidate& it : fresh) {
-    candidates.push_back({it.finish, it.pace, it.is_good, it.HasFreeSlot(),
+    candidates.push_back({Scaled(it.finish, factor), it.pace, it.is_good,
+                          it.HasFreeSlot(),
                           endpoints_.spec(it.index).zone != options_.zone});
   }
   const SlackPlacement::Decision decision = SlackPlacement::Choose(
-      candidates, least,
+      candidates, Scaled(least, factor),
       {call.offer.on_time_until - now, call.offer.deadline - now,
        options_.on_time_margin});
   switch (decision.choice) {
@@ -161,9 +163,13 @@
   return Decision{Step::kRefuse, best, true};
 }
 
+Duration MeasuredBalancer::UsualTimeOf(const CallOffer& offer) const {
+  return Scaled(endpoints_.usual_time(), route_times_.FactorOf(offer.customer));
+}
+
 TimePoint MeasuredBalancer::MustStartBy(const CallOffer& offer) const {
   return offer.on_time_until -
-         Scaled(endpoints_.usual_time(), options_.on_time_margin);
+         Scaled(UsualTimeOf(offer), options_.on_time_margin);
 }
 
 // While enough endpoints are free, the wait for probes is the usual one.
@@ -278,7 +284,7 @@
   }
   const CallOffer& offer = call.offer;
   return pacing_.Delay({offer.urgency, wait, offer.deadline - now,
-                        offer.on_time_until - now - endpoints_.usual_time()},
+                        offer.on_time_until - now - UsualTimeOf(offer)},
                        now, random_);
 }
 
@@ -315,7 +321,10 @@
                                    const SendEnd& end,
                                    TimePoint now,
                                    Decisions& out) {
-  endpoints_.OnSendEnd(end, now);
+  if (const auto relative = endpoints_.OnSendEnd(end, now);
+      relative && (slack_.is_enabled() || IsPaced(offer))) {
+    route_times_.Learn(offer.customer, *relative);
+  }
   retries_.OnSendEnd(end.result);
   if (end.result == SendResult::kAnswered) {
     pacing_.OnAnswered(now);
--- a/policy/measured_balancer.h
+++ b/policy/measured_balancer.h
@@ -13,6 +13,7 @@
 #include "policy/retry_budget.h"
 #include "policy/return_pacing.h"
 #include "policy/returning_caller_detector.h"
+#include "policy/route_times.h"
 #include "policy/slack_placement.h"
 
 namespace damasktack {
@@ -123,6 +124,9 @@
   // Returns how long the call may wait. This follows its objective if the
   // service's routes have different objectives.
   SlackWaits WaitsOf(const WaitingCall& call, TimePoint now) const;
+  // Returns the execution time of the call's route at an endpoint that is
+  // hardly used.
+  Duration UsualTimeOf(const CallOffer& offer) const;
   // Returns the latest time at which the call must start to be on time with the
   // margin.
   TimePoint MustStartBy(const CallOffer& offer) const;
@@ -170,6 +174,7 @@
   RetryBudget retries_;
   ReturningCallerDetector returning_callers_;
   SlackPlacement slack_;
+  RouteTimes route_times_;
   ReturnPacing pacing_;
   // Time since which no endpoint has been able to take a call.
   std::optional<TimePoint> unavailable_since_;
--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -354,7 +354,8 @@
   measures_[to.index].OnSend();
 }
 
-void MeasuredEndpoints::OnSendEnd(const SendEnd& end, TimePoint now) {
+std::optional<double> MeasuredEndpoints::OnSendEnd(const SendEnd& end,
+                                                   TimePoint now) {
   roster_.record(end.endpoint).estimate.OnEnd();
   if (end.report) {
     OnReport(end.endpoint, *end.report, now);
@@ -367,22 +368,32 @@
   // second.
   roster_.OnSendEnd(end.endpoint, end.result, 1, now);
   if (const auto sent = sent_.extract(end.token)) {
-    Learn(end, sent.mapped());
+    return Learn(end, sent.mapped());
   }
+  return std::nullopt;
 }
 
-void MeasuredEndpoints::Learn(const SendEnd& end, const SentCall& sent) {
+std::optional<double> MeasuredEndpoints::Learn(const SendEnd& end,
+                                               const SentCall& sent) {
   if (sent.warm_time) {
     if (end.result == SendResult::kAnswered && sent.is_fresh) {
       cold_slowdown_.OnExecution(end.took, *sent.warm_time);
     }
-    return;
+    return std::nullopt;
   }
   const bool was_slow = sent.pace > options_.good_pace ||
                         (end.report && end.report->pace > options_.good_pace);
-  if (end.result == SendResult::kAnswered && sent.is_fresh && !was_slow) {
-    profile_.OnExecution(sent.fill, end.took);
+  if (end.result != SendResult::kAnswered || !sent.is_fresh || was_slow) {
+    return std::nullopt;
+  }
+  const Duration expected =
+      Scaled(profile_.usual(), profile_.Slowdown(sent.fill));
+  profile_.OnExecution(sent.fill, end.took);
+  if (sent.fill > 1 || expected <= Duration::zero()) {
+    return std::nullopt;
   }
+  return static_cast<double>(end.took.count()) /
+         static_cast<double>(expected.count());
 }
 
 void MeasuredEndpoints::OnReport(EndpointIndex endpoint,
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -63,7 +63,9 @@
   // Initializes the usual execution time from the first call's objective.
   void GuessUsualTime(const CallOffer& offer);
   void OnSend(CallToken token, const MeasuredCandidate& to, TimePoint now);
-  void OnSendEnd(const SendEnd& end, TimePoint now);
+  // Returns the execution time divided by the one expected for the service, if
+  // the endpoint was known to be of usual pace.
+  std::optional<double> OnSendEnd(const SendEnd& end, TimePoint now);
   void OnReport(EndpointIndex endpoint,
                 const EndpointReport& report,
                 TimePoint now);
@@ -185,7 +187,7 @@
   void UpdatePreference();
   double PaceOf(EndpointIndex index, TimePoint now) const;
   double CallsAt(EndpointIndex index, TimePoint now) const;
-  void Learn(const SendEnd& end, const SentCall& sent);
+  std::optional<double> Learn(const SendEnd& end, const SentCall& sent);
 
   const MeasuredBalancerOptions options_;
   std::vector<EndpointSpec> specs_;
