--- a/policy/measured_endpoints.cc
+++ b/policy/measured_endpoints.cc
@@ -354,7 +354,8 @@
   measures_[to.index].OnSend();
 }
 
-bool MeasuredEndpoints::OnSendEnd(const SendEnd& end, TimePoint now) {
+AnswerObservation MeasuredEndpoints::OnSendEnd(const SendEnd& end,
+                                               TimePoint now) {
   roster_.record(end.endpoint).estimate.OnEnd();
   if (end.report) {
     OnReport(end.endpoint, *end.report, now);
@@ -369,7 +370,7 @@
   if (const auto sent = sent_.extract(end.token)) {
     return Learn(end, sent.mapped());
   }
-  return false;
+  return {};
 }
 
 void MeasuredEndpoints::OnSlowSend(CallToken token) {
@@ -379,21 +380,28 @@
   }
 }
 
-bool MeasuredEndpoints::Learn(const SendEnd& end, const SentCall& sent) {
+AnswerObservation MeasuredEndpoints::Learn(const SendEnd& end,
+                                           const SentCall& sent) {
   if (sent.warm_time) {
     if (end.result == SendResult::kAnswered && sent.is_fresh) {
       cold_slowdown_.OnExecution(end.took, *sent.warm_time);
     }
-    return false;
+    return {};
   }
   const bool was_slow = sent.pace > options_.good_pace ||
                         (end.report && end.report->pace > options_.good_pace);
-  const bool is_usual =
-      end.result == SendResult::kAnswered && sent.is_fresh && !was_slow;
-  if (is_usual) {
-    profile_.OnExecution(sent.fill, end.took);
+  if (end.result != SendResult::kAnswered || !sent.is_fresh || was_slow) {
+    return {};
   }
-  return is_usual && !sent.was_slow;
+  AnswerObservation observation;
+  observation.has_usual_pace = !sent.was_slow;
+  const Duration expected =
+      Scaled(profile_.usual(), profile_.Slowdown(sent.fill));
+  profile_.OnExecution(sent.fill, end.took);
+  if (sent.fill <= 1 && expected > Duration::zero()) {
+    observation.relative_time = Ratio(end.took, expected);
+  }
+  return observation;
 }
 
 std::optional<double> MeasuredEndpoints::PaceSince(EndpointIndex index,
--- a/policy/measured_endpoints.h
+++ b/policy/measured_endpoints.h
@@ -42,6 +42,15 @@
   bool HasFreeSlot() const { return calls + 1 <= slots; }
 };
 
+// What the end of a send shows about the execution time of its route.
+struct AnswerObservation {
+  // Whether the send was answered by an endpoint of usual pace throughout.
+  bool has_usual_pace = false;
+  // Execution time divided by the one expected for the service; null if the
+  // endpoint was not known to be of usual pace, or queued the call.
+  std::optional<double> relative_time;
+};
+
 // The endpoints of a service, as known to one host: the published list, the
 // last reports, the calls sent since, and the learned execution times.
 class MeasuredEndpoints {
@@ -63,8 +72,7 @@
   // Initializes the usual execution time from the first call's objective.
   void GuessUsualTime(const CallOffer& offer);
   void OnSend(CallToken token, const MeasuredCandidate& to, TimePoint now);
-  // Returns whether the send was answered by an endpoint of usual pace.
-  bool OnSendEnd(const SendEnd& end, TimePoint now);
+  AnswerObservation OnSendEnd(const SendEnd& end, TimePoint now);
   // Records that the endpoint of a send in flight has been slow meanwhile.
   void OnSlowSend(CallToken token);
   void OnReport(EndpointIndex endpoint,
@@ -195,8 +203,7 @@
   void UpdatePreference();
   double PaceOf(EndpointIndex index, TimePoint now) const;
   double CallsAt(EndpointIndex index, TimePoint now) const;
-  // Returns whether the send was answered by an endpoint of usual pace.
-  bool Learn(const SendEnd& end, const SentCall& sent);
+  AnswerObservation Learn(const SendEnd& end, const SentCall& sent);
 
   const MeasuredBalancerOptions options_;
   std::vector<EndpointSpec> specs_;
