--- a/policy/hedge_policy.cc
+++ b/policy/hedge_policy.cc
@@ -55,9 +55,12 @@
   if (!view.is_first_lost && !view.first_pace && view.can_probe_first) {
     return {HedgeStep::kProbeFirst, recheck};
   }
-  if (!IsFirstWorse(view) && view.in_flight < view.times.usual) {
-    return {HedgeStep::kWait,
-            std::min(view.times.usual - view.in_flight, recheck)};
+  // Without the second bound, a twentieth of long executions would put the
+  // usual time beyond the objective, and none of them would be hedged.
+  const Duration usual = std::min(
+      view.times.usual, Scaled(view.times.typical, options_.slow_pace));
+  if (!IsFirstWorse(view) && view.in_flight < usual) {
+    return {HedgeStep::kWait, std::min(usual - view.in_flight, recheck)};
   }
   const bool is_late = second > view.to_objective;
   const bool is_useful =
--- a/policy/hedge_policy.h
+++ b/policy/hedge_policy.h
@@ -78,10 +78,10 @@
 // a call was sent to them. The second send is made as late as it can be on time
 // with a margin: an earlier one is more often unnecessary, and the number of
 // hedges is limited. The first endpoint is probed then. If it has become slow
-// or does not answer the probe, the second send is made at once; otherwise not
-// before the first one has taken longer than 95% of the answers of its route. A
-// call that cannot be on time any more gets a second send if that ends clearly
-// earlier than the first one.
+// or does not answer the probe, the second send is made at once; otherwise when
+// the first one has taken longer than 95% of the answers of its route, or twice
+// the typical time. A call that cannot be on time any more gets a second send
+// if that ends clearly earlier than the first one.
 //
 // The owner checks the budgets (RetryBudget::TrySpendOnHedge), that a call may
 // run twice, and its limit of sends.
--- a/tests/proxy/test_call_sends.cc
+++ b/tests/proxy/test_call_sends.cc
@@ -1,15 +1,19 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "platform/kv_names.h"
 #include "proxy/call_parameters.h"
 #include "proxy/caller_server.h"
 #include "proxy_fixture.h"
+#include "standin/standin_endpoint.h"
 
 namespace damasktack {
 namespace {
@@ -299,5 +303,122 @@
   CHECK_FALSE(MayBeHedged(route, 3.5));
 }
 
+// Three stand-in endpoints behind a daemon that hedges, and what became of the
+// calls of four callers.
+struct StandinRun {
+  int answered = 0;
+  int on_time = 0;
+  std::uint64_t hedges = 0;
+  std::uint64_t executions = 0;
+  // Executions whose connection was closed before the end.
+  std::uint64_t aborted = 0;
+};
+
+StandinRun RunWithStandins(const ServiceTime& shape,
+                           const EndpointFaults& faults_of_busiest,
+                           LosingSend losing_send) {
+  constexpr auto kObjective = milliseconds(200);
+  constexpr int kCallers = 4;
+  constexpr int kCallsPerCaller = 50;
+  StandinEndpointOptions endpoint_options;
+  endpoint_options.slots = 4;
+  endpoint_options.shape = shape;
+  std::vector<std::unique_ptr<StandinEndpoint>> endpoints;
+  std::vector<std::uint16_t> ports;
+  for (std::uint64_t n = 0; n < 3; ++n) {
+    endpoint_options.seed = n + 1;
+    endpoints.push_back(std::make_unique<StandinEndpoint>(endpoint_options));
+    ports.push_back(endpoints.back()->Start(0));
+  }
+  Route route;
+  route.timeout = milliseconds(2000);
+  route.latency_objective = kObjective;
+  route.contract.retry_percent = 100;
+  const RoutingTablePtr routes = MakeReadWriteRoutes(ports, route);
+  std::vector<ServiceSpec> services = routes->services();
+  services[0].health_path = "/load";
+  services[0].echoes_call = false;
+
+  ProxyOptions options = HedgeFixture::Options();
+  options.names = ProtocolNames();
+  options.hedge.losing_send.action = losing_send;
+  OpenLimitGate limits;
+  OpenClaimGate claims;
+  ProxyState state(options, limits, claims);
+  CallerServer server(state);
+  state.SetRouting(std::make_shared<RoutingTable>(routes->book(), services), 1,
+                   Clock::now());
+  Try([&] { return server.Start(); },
+      [](const Error& error) { FAIL(ToString(error)); });
+  StandinRun run;
+  const auto call = [&](int calls) {
+    RawConnection caller = RawConnection::To(server.port());
+    for (int n = 0; n < calls; ++n) {
+      const TimePoint start = Clock::now();
+      caller.Send("GET /read/x HTTP/1.1\r\nHost: a.example\r\n\r\n");
+      const bool is_answered = StatusOf(caller.ReadMessage()) == 200;
+      const bool is_on_time = Clock::now() - start <= kObjective;
+      static std::mutex mutex;
+      const std::lock_guard lock(mutex);
+      run.answered += is_answered ? 1 : 0;
+      run.on_time += is_answered && is_on_time ? 1 : 0;
+    }
+  };
+  call(kCallsPerCaller);
+  // The host may prefer some endpoints.
+  const auto busiest = std::ranges::max_element(
+      endpoints, {}, [](const auto& it) { return it->executions(); });
+  (*busiest)->SetFaults(faults_of_busiest);
+  std::vector<std::thread> callers;
+  for (int n = 0; n < kCallers; ++n) {
+    callers.emplace_back(call, kCallsPerCaller);
+  }
+  for (std::thread& it : callers) {
+    it.join();
+  }
+  for (const HedgeEnd it :
+       {HedgeEnd::kWon, HedgeEnd::kLost, HedgeEnd::kFailed}) {
+    run.hedges += state.counters().hedges(it);
+  }
+  server.Stop();
+  for (const auto& it : endpoints) {
+    it->Stop();
+    run.executions += it->counts().executions;
+    run.aborted += it->counts().cancelled_running;
+  }
+  return run;
+}
+
+// Compares the two ways to end a losing send where one execution in ten takes
+// fifteen times as long.
+TEST_CASE(
+    "calls at slow executions are hedged, whatever the losing send does") {
+  const ServiceTime shape{ServiceShape::kBimodal, milliseconds(20),
+                          milliseconds(300), 0.1};
+  for (const LosingSend losing_send :
+       {LosingSend::kIsCancelled, LosingSend::kRunsOn}) {
+    const StandinRun run = RunWithStandins(shape, {}, losing_send);
+    MESSAGE("losing send " << static_cast<int>(losing_send) << ": on time "
+                           << run.on_time << " of 250, hedges " << run.hedges
+                           << ", executions " << run.executions << ", aborted "
+                           << run.aborted);
+    CHECK(run.answered == 250);
+    CHECK(run.hedges > 0);
+  }
+}
+
+// Guards against calls that fail at an endpoint which runs them and answers
+// probes, but whose answers are lost.
+TEST_CASE("all calls are answered while one endpoint loses every answer") {
+  const ServiceTime shape{ServiceShape::kFixed, milliseconds(20)};
+  EndpointFaults faults;
+  faults.answer = AnswerFault::kNever;
+  const StandinRun run =
+      RunWithStandins(shape, faults, LosingSend::kRunsOnIfSoonOver);
+  MESSAGE("on time " << run.on_time << " of 250, hedges " << run.hedges);
+  CHECK(run.answered == 250);
+  CHECK(run.hedges > 0);
+}
+
 }  // namespace
 }  // namespace damasktack
