--- a/policy/probe_planner.h
+++ b/policy/probe_planner.h
@@ -32,8 +32,8 @@
   // Requests further probes that could help the call; returns false if no
   // endpoint is left to probe or the budget is spent.
   bool RequestProbes(const WaitingCall& call, TimePoint now, Random& random);
-  // Requests a probe of one endpoint, unless one is on its way; returns false if
-  // it is overdue, the budget is spent or the endpoints do not report.
+  // Requests a probe of one endpoint, unless one is on its way; returns false
+  // if it is overdue, the budget is spent or the endpoints do not report.
   bool RequestProbe(EndpointIndex index, TimePoint now);
   // Returns the number of endpoints with a fresh report.
   std::size_t CountFresh(TimePoint now) const;
