--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -99,10 +99,6 @@
                  "spread the return of refused callers of a route over time if "
                  "the route's timeout is at least this multiple of its latency "
                  "objective; 0 disables this");
-  visitor.Count("answer_memory_bytes", options.answer_memory_bytes, 0,
-                1LL << 40, "bytes",
-                "maximum bytes of answers that this host holds; 0 means no "
-                "limit");
   visitor.Time("tick", options.tick, milliseconds(1), seconds(1),
                "interval at which deadlines of waiting calls are checked");
 }
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -69,8 +69,6 @@
   // route's timeout is at least this multiple of its latency objective; 0
   // disables this.
   double return_pacing_factor = 0;
-  // Limit on the bytes of answers that this host holds; 0 means no limit.
-  std::int64_t answer_memory_bytes = 0;
   BalancerOptions balancer;
   MeasuredBalancerOptions measured;
   Duration tick = std::chrono::milliseconds(2);
