Count a call with two sends once; refuse nothing while slots are free

Change: only the send that decides a call is counted, free slots end a shortage, and the sleep is bounded.

--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -246,7 +246,7 @@
   callers_.AnnounceStop(last);
   std::this_thread::sleep_until(std::min(began + settings_.stop.lag, last));
   callers_.BeginStopping();
-  std::this_thread::sleep_for(kIdleCloseTime);
+  std::this_thread::sleep_until(std::min(Clock::now() + kIdleCloseTime, last));
   // A call accepted later could not be finished: it would be aborted when the
   // platform kills the process. A refused connection tells the caller that
   // nothing was read.
--- a/policy/urgency_admission.cc
+++ b/policy/urgency_admission.cc
@@ -166,9 +166,10 @@
   // Calls that this part refuses itself are not missed, but show a shortage.
   const bool is_refusing =
       is_short_ && fractions_[LeastUrgent()] < 1 - options_.sufficient_below;
-  // Calls are missed for other reasons if endpoints report free slots.
+  // If endpoints report free slots, calls are missed for other reasons, and
+  // refusing further ones would leave these slots empty.
   const bool has_free_slots = busy_ >= 0 && !IsBusy();
-  if ((is_missing && !has_free_slots) || is_refusing) {
+  if ((is_missing || is_refusing) && !has_free_slots) {
     short_at_ = now;
     is_short_ = true;
   } else if (now - short_at_ >= options_.hold) {
--- a/proxy/service_dispatcher.cc
+++ b/proxy/service_dispatcher.cc
@@ -156,7 +156,11 @@
     after = balancer_->Finish(offer, end, now, decisions);
     if (after == AfterSend::kDone) {
       waiting_.erase(offer.token);
-      overload_.OnCallEnd(offer, end, now);
+      // A call with two sends is counted once, by the send that decides it; the
+      // other one is reported as a retry.
+      if (!offer.is_retry) {
+        overload_.OnCallEnd(offer, end, now);
+      }
     }
     notices = EndEvent(decisions, now);
   }
