Log each call that a stop cuts

Callers saw connections that ended without an answer during a stop; the log said "stopped cut=1". Three hypotheses could not be told apart by it: the call was read after SIGTERM and could not be finished, it was read before and took longer than the stop, or it had ended and its answer was not written.

Change: event=call-cut names each aborted call with the time from the begin of the stop until it was read, its sends and its endpoint; event=stopped counts the callers' connections that were open. The daemon that reads documents counted aborted calls after they had been destroyed, so it always logged cut=0: CallerServer::Stop returns the number now.

--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -187,12 +187,13 @@
       idle_since = Clock::now();
     }
   }
-  callers_.Stop();
+  const std::int64_t connections = callers_.connections();
+  const std::int64_t cut = callers_.Stop();
   WaitForHandover();
   fleet_.Stop();
   admin_.Stop();
-  spdlog::info("event=stopped host={} cut={}", settings_.host.text(),
-               state_.calls_in_flight().load());
+  spdlog::info("event=stopped host={} cut={} connections={}",
+               settings_.host.text(), cut, connections);
 }
 
 }  // namespace damasktack
--- a/main/store_daemon.cc
+++ b/main/store_daemon.cc
@@ -260,10 +260,11 @@
       idle_since = Clock::now();
     }
   }
-  const std::int64_t aborted = state_.calls_in_flight();
-  callers_.Stop();
+  const std::int64_t connections = callers_.connections();
+  const std::int64_t cut = callers_.Stop();
   StopPublished();
-  spdlog::info("event=stopped host={} cut={}", settings_.host.text(), aborted);
+  spdlog::info("event=stopped host={} cut={} connections={}",
+               settings_.host.text(), cut, connections);
 }
 
 void StoreDaemon::Reload(const Settings& new_settings) {
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -320,6 +320,23 @@
   co_return co_await sends_->Run(request_);
 }
 
+CutCallRecord CallHandler::DescribeCut(TimePoint now) const {
+  CutCallRecord record;
+  record.call = call_id_;
+  record.customer = offer_.customer;
+  if (service_ != nullptr) {
+    record.service = service_->id;
+  }
+  if (sends_) {
+    record.endpoint = sends_->last_endpoint();
+    record.sends = sends_->count();
+  }
+  record.age = now - offer_.arrival;
+  record.read_after = offer_.arrival - state_.stop_began();
+  record.left = offer_.deadline - now;
+  return record;
+}
+
 void CallHandler::Log(const HttpRequest& request,
                       const CallResult& result,
                       TimePoint now) {
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string_view>
 
+#include "proxy/call_log.h"
 #include "proxy/call_origin.h"
 #include "proxy/call_result.h"
 #include "proxy/call_sends.h"
@@ -32,6 +33,9 @@
   // cancels the send in progress. Must be called on the handler's thread.
   void OnCallerGone();
 
+  // Describes the call for the log if it is aborted at `now`.
+  CutCallRecord DescribeCut(TimePoint now) const;
+
   // The call's deadline and the longest time that its route or contract allows;
   // both are zero until the request has been matched.
   TimePoint deadline() const { return offer_.deadline; }
--- a/proxy/call_log.cc
+++ b/proxy/call_log.cc
@@ -113,6 +113,17 @@
   }
 }
 
+void CallLog::WriteCut(const CutCallRecord& record, TimePoint now) {
+  if (const std::optional<std::uint64_t> left_out = TakeLine(now)) {
+    spdlog::warn(
+        "event=call-cut call={} customer={} service={} endpoint={} sends={} "
+        "age_ms={} read_after_ms={} left_ms={} left_out={}",
+        record.call.text(), record.customer.text(), record.service.text(),
+        record.endpoint.text(), record.sends, ToMs(record.age),
+        ToMs(record.read_after), ToMs(record.left), *left_out);
+  }
+}
+
 void CallLog::WriteInternalError(std::string_view what, TimePoint now) {
   if (const std::optional<std::uint64_t> left_out = TakeLine(now)) {
     spdlog::error("event=call-internal-error what=\"{}\" left_out={}", what,
--- a/proxy/call_log.h
+++ b/proxy/call_log.h
@@ -57,6 +57,23 @@
   Duration expected{};
 };
 
+// A call that the host aborts at the end of its stop.
+struct CutCallRecord {
+  CallId call;
+  CustomerId customer;
+  ServiceId service;
+  // The last endpoint that the call was sent to; empty if it was never sent.
+  EndpointId endpoint;
+  int sends = 0;
+  // Time since the request was read.
+  Duration age{};
+  // Time from the begin of the stop until the request was read; negative if it
+  // was read before the stop.
+  Duration read_after{};
+  // Time left until the call's deadline; negative if it has passed.
+  Duration left{};
+};
+
 // Returns true if the call was refused, failed, sent more than once, or late.
 bool NeedsLogLine(const CallRecord& record);
 
@@ -89,6 +106,7 @@
   void WriteRelayTaken(const CallId& call,
                        std::string_view from,
                        TimePoint now);
+  void WriteCut(const CutCallRecord& record, TimePoint now);
   // Logs that a call ended with an exception.
   void WriteInternalError(std::string_view what, TimePoint now);
   std::uint64_t dropped() const;
--- a/proxy/caller_server.cc
+++ b/proxy/caller_server.cc
@@ -227,7 +227,7 @@
 }
 
 void CallerServer::AnnounceStop(TimePoint end) {
-  state_.SetStopEnd(end);
+  state_.SetStopEnd(end, Clock::now());
   ForEachSession(&CallerSession::OnStopAnnounced);
 }
 
@@ -246,9 +246,13 @@
   });
 }
 
-void CallerServer::Stop() {
+std::int64_t CallerServer::Stop() {
+  std::int64_t aborted = 0;
   for (const auto& it : loops_) {
     it->Stop();
+    for (const CallerSession* session : it->sessions()) {
+      aborted += session->LogCutCalls(Clock::now());
+    }
   }
   // The acceptors belong to the first loop. Destroying the loops destroys the
   // aborted calls, which settle their claims while the gate still exists.
@@ -256,6 +260,7 @@
   relay_acceptor_.reset();
   tick_timer_.reset();
   loops_.clear();
+  return aborted;
 }
 
 }  // namespace damasktack
--- a/proxy/caller_server.h
+++ b/proxy/caller_server.h
@@ -1,6 +1,7 @@
 #ifndef PROXY_CALLER_SERVER_H_
 #define PROXY_CALLER_SERVER_H_
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -33,8 +34,9 @@
   void BeginStopping();
   // Closes the listening socket; open connections continue.
   void StopAccepting();
-  // Stops the threads and aborts all calls in flight.
-  void Stop();
+  // Stops the threads, and logs and aborts all calls in flight. Returns their
+  // number.
+  std::int64_t Stop();
   std::uint16_t port() const { return port_; }
   // Returns the port for relayed calls; 0 if this host takes none.
   std::uint16_t relay_port() const { return relay_port_; }
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -171,6 +171,17 @@
   }
 }
 
+std::int64_t CallerSession::LogCutCalls(TimePoint now) const {
+  std::int64_t calls = 0;
+  for (const PendingRequestPtr& it : pending_) {
+    if (it->handler) {
+      state_.call_log().WriteCut(it->handler->DescribeCut(now), now);
+      ++calls;
+    }
+  }
+  return calls;
+}
+
 StopSchedule::Connection CallerSession::DescribeForStop() const {
   StopSchedule::Connection connection{longest_call_, TimePoint::min()};
   for (const PendingRequestPtr& it : pending_) {
--- a/proxy/caller_session.h
+++ b/proxy/caller_session.h
@@ -2,6 +2,7 @@
 #define PROXY_CALLER_SESSION_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -31,6 +32,9 @@
   void OnStopAnnounced();
   // Called when the daemon is stopping: shortens the idle timeout.
   void OnStopping();
+  // Logs the calls in flight, which are about to be aborted. Returns their
+  // number.
+  std::int64_t LogCutCalls(TimePoint now) const;
 
  private:
   using Parser = http::request_parser<http::string_body>;
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -130,7 +130,12 @@
   void SetStopping() { stopping_ = true; }
   bool stopping() const { return stopping_; }
   // Sets the time at which a stopping host aborts all calls.
-  void SetStopEnd(TimePoint end) { stop_end_ = end; }
+  void SetStopEnd(TimePoint end, TimePoint now) {
+    stop_began_ = now;
+    stop_end_ = end;
+  }
+  // Returns when SetStopEnd was called.
+  TimePoint stop_began() const { return stop_began_; }
   StopSchedule stop_schedule() const { return StopSchedule(stop_end_); }
   std::atomic<std::int64_t>& calls_in_flight() {
     return counters_.calls_in_flight();
@@ -167,6 +172,7 @@
   std::function<void()> on_waiting_;
   std::atomic<CallToken> last_token_ = 0;
   std::atomic<bool> stopping_ = false;
+  std::atomic<TimePoint> stop_began_ = TimePoint::max();
   std::atomic<TimePoint> stop_end_ = TimePoint::max();
 };
 
