Log and count answers that belong to other requests

Callers were told "not run" although their command ran. From the logs three hypotheses could not be told apart: the late copy of a refusal ended a later send, an endpoint refused a command and ran it all the same, or another request's answer was taken. call-ended says how many sends there were and nothing of answers.

Change: an exchange records each answer that it read and did not take, and how it was attributed. event=answer-stray names the call in progress, the endpoint, the connection, the call that the answer names and whether it refuses; damasktack_stray_answers_total counts by attribution. Sends, relays and probes report them.

Result: lines and counts only; no decision changed.

--- a/proxy/answer_matcher.cc
+++ b/proxy/answer_matcher.cc
@@ -14,6 +14,12 @@
 
 }  // namespace
 
+std::string_view ToString(AnswerMatch match) {
+  constexpr std::array<std::string_view, kAnswerMatchCount> kNames = {
+      "own", "other", "unattributable"};
+  return kNames[static_cast<std::size_t>(match)];
+}
+
 void AnswerMatcher::Expect(ExpectedAnswer expected) {
   if (!expected.call.empty()) {
     carried_[next_carried_++ % kRememberedCalls] = HashOf(expected.call);
--- a/proxy/answer_matcher.h
+++ b/proxy/answer_matcher.h
@@ -55,6 +55,11 @@
   kUnattributable,
 };
 
+inline constexpr std::size_t kAnswerMatchCount = 3;
+
+// Returns the name used in logs and metrics.
+std::string_view ToString(AnswerMatch match);
+
 // Matches the answers received on one connection to the requests written on it,
 // of which at most one is outstanding at a time. Besides the answer to each
 // request, an endpoint may send further copies of any answer at any later time.
--- a/proxy/call_log.cc
+++ b/proxy/call_log.cc
@@ -124,6 +124,17 @@
   }
 }
 
+void CallLog::WriteStrayAnswer(const StrayAnswerRecord& record, TimePoint now) {
+  if (const std::optional<std::uint64_t> left_out = TakeLine(now)) {
+    spdlog::info(
+        "event=answer-stray call={} endpoint={} connection={} match={} "
+        "status={} names={} refusal={} left_out={}",
+        record.call.text(), record.endpoint.text(), record.connection,
+        record.match, record.status, record.names, record.is_refusal,
+        *left_out);
+  }
+}
+
 void CallLog::WriteInternalError(std::string_view what, TimePoint now) {
   if (const std::optional<std::uint64_t> left_out = TakeLine(now)) {
     spdlog::error("event=call-internal-error what=\"{}\" left_out={}", what,
--- a/proxy/call_log.h
+++ b/proxy/call_log.h
@@ -74,6 +74,20 @@
   Duration left{};
 };
 
+// An answer of an endpoint or peer that was not taken for a request's own.
+struct StrayAnswerRecord {
+  // The call that waited for its answer; empty for a probe.
+  CallId call;
+  EndpointId endpoint;
+  std::uint64_t connection = 0;
+  // How the answer was attributed.
+  std::string_view match;
+  unsigned status = 0;
+  // The call that the answer names; empty if it names none.
+  std::string_view names;
+  bool is_refusal = false;
+};
+
 // Returns true if the call was refused, failed, sent more than once, or late.
 bool NeedsLogLine(const CallRecord& record);
 
@@ -107,6 +121,7 @@
                        std::string_view from,
                        TimePoint now);
   void WriteCut(const CutCallRecord& record, TimePoint now);
+  void WriteStrayAnswer(const StrayAnswerRecord& record, TimePoint now);
   // Logs that a call ended with an exception.
   void WriteInternalError(std::string_view what, TimePoint now);
   std::uint64_t dropped() const;
--- a/proxy/call_relay.cc
+++ b/proxy/call_relay.cc
@@ -74,6 +74,7 @@
   ExchangeResult sent =
       co_await exchange_->Run(request, call.deadline, call.id.text());
   exchange_.reset();
+  state_.RecordStrayAnswers(call.id, EndpointId(peer.host.text()), sent);
   co_return sent;
 }
 
--- a/proxy/call_sends.cc
+++ b/proxy/call_sends.cc
@@ -265,6 +265,7 @@
   if (std::exchange(send.is_reported, true)) {
     return AfterSend::kDone;
   }
+  state_.RecordStrayAnswers(call_.id, send.placement.target.id, *send.result);
   const SendEnd end = EndOf(send);
   quarantine_check_.OnSendEnd(call_.caller, *send.request,
                               send.placement.target, *send.result);
--- a/proxy/caller_server.cc
+++ b/proxy/caller_server.cc
@@ -206,6 +206,7 @@
       began_at + state_.options().exchange.connect_timeout;
   const ExchangeResult result = co_await exchange->Run(request, deadline, "");
   dispatcher->CountProbe(result.bytes);
+  state_.RecordStrayAnswers({}, probe.target.id, result);
   if (result.signals) {
     dispatcher->OnProbeSignals(probe, *result.signals, Clock::now());
   }
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -311,10 +311,13 @@
     if (!answer) {
       co_return std::nullopt;
     }
-    const AnswerMatch match = connection_->answers().Match(TraitsOf(*answer));
+    const AnswerTraits traits = TraitsOf(*answer);
+    const AnswerMatch match = connection_->answers().Match(traits);
     if (match == AnswerMatch::kOwn) {
       co_return answer;
     }
+    strays_.push_back({match, answer->result_int(), std::string(traits.call),
+                       traits.is_refusal});
     if (match == AnswerMatch::kUnattributable ||
         !names_.may_duplicate_responses || !answer->keep_alive()) {
       co_return std::nullopt;
@@ -437,6 +440,7 @@
   out.result = FinalResult(out.result, out.answer.has_value());
   out.wrote = wrote_;
   out.bytes = bytes_;
+  out.strays = std::move(strays_);
   out.took = Clock::now() - started_at_;
   const bool is_draining =
       (out.report && out.report->mode == EndpointMode::kDraining) ||
--- a/proxy/endpoint_exchange.h
+++ b/proxy/endpoint_exchange.h
@@ -25,6 +25,15 @@
   Duration connect_timeout = std::chrono::milliseconds(250);
 };
 
+// An answer that was read and not taken for the request's own.
+struct StrayAnswer {
+  AnswerMatch match = AnswerMatch::kOther;
+  unsigned status = 0;
+  // The call that the answer names; empty if it names none.
+  std::string call;
+  bool is_refusal = false;
+};
+
 // Result of one exchange with an endpoint.
 struct ExchangeResult {
   SendResult result = SendResult::kNotConnected;
@@ -40,6 +49,8 @@
   std::uint64_t bytes = 0;
   // The connection used; 0 if none was established.
   ConnectionId connection = 0;
+  // In the order in which they were read.
+  std::vector<StrayAnswer> strays;
 };
 
 // Sends one request to one endpoint once and reads the answer. Used on one I/O
@@ -145,6 +156,7 @@
   bool is_probe_ = false;
   bool needs_certainty_ = false;
   ConnectionNeeds needs_;
+  std::vector<StrayAnswer> strays_;
 };
 
 }  // namespace damasktack
--- a/proxy/proxy_counters.cc
+++ b/proxy/proxy_counters.cc
@@ -34,6 +34,12 @@
     out << "damasktack_relays_total{end=\""
         << ToString(static_cast<RelayEnd>(n)) << "\"} " << relays_[n] << "\n";
   }
+  out << "# TYPE damasktack_stray_answers_total counter\n";
+  for (const AnswerMatch it :
+       {AnswerMatch::kOther, AnswerMatch::kUnattributable}) {
+    out << "damasktack_stray_answers_total{match=\"" << ToString(it) << "\"} "
+        << stray_answers(it) << "\n";
+  }
   out << "# TYPE damasktack_hedges_total counter\n";
   for (std::size_t n = 0; n < hedges_.size(); ++n) {
     out << "damasktack_hedges_total{end=\"" << kHedgeEndNames[n] << "\"} "
--- a/proxy/proxy_counters.h
+++ b/proxy/proxy_counters.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 
+#include "proxy/answer_matcher.h"
 #include "proxy/failure.h"
 #include "proxy/relay_peer_picker.h"
 
@@ -46,6 +47,14 @@
     return losing_sends_cancelled_;
   }
 
+  // Counts an endpoint's answer that was not taken for the request's own.
+  void CountStrayAnswer(AnswerMatch match) {
+    ++stray_answers_[static_cast<std::size_t>(match)];
+  }
+  std::uint64_t stray_answers(AnswerMatch match) const {
+    return stray_answers_[static_cast<std::size_t>(match)];
+  }
+
   // Counts a call that was offered to a peer.
   void CountRelay(RelayEnd end) { ++relays_[static_cast<std::size_t>(end)]; }
   // Counts a call that a peer relayed to this host.
@@ -65,6 +74,7 @@
   std::atomic<std::uint64_t> cold_sends_ = 0;
   std::array<std::atomic<std::uint64_t>, kHedgeEndCount> hedges_{};
   std::atomic<std::uint64_t> losing_sends_cancelled_ = 0;
+  std::array<std::atomic<std::uint64_t>, kAnswerMatchCount> stray_answers_{};
   std::array<std::atomic<std::uint64_t>, kRelayEndCount> relays_{};
   std::atomic<std::uint64_t> relays_taken_ = 0;
   std::atomic<std::int64_t> relayed_in_flight_ = 0;
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -147,6 +147,22 @@
   return dispatchers_;
 }
 
+void ProxyState::RecordStrayAnswers(const CallId& call,
+                                    const EndpointId& endpoint,
+                                    const ExchangeResult& sent) {
+  for (const StrayAnswer& it : sent.strays) {
+    counters_.CountStrayAnswer(it.match);
+    call_log_.WriteStrayAnswer({.call = call,
+                                .endpoint = endpoint,
+                                .connection = sent.connection,
+                                .match = ToString(it.match),
+                                .status = it.status,
+                                .names = it.call,
+                                .is_refusal = it.is_refusal},
+                               Clock::now());
+  }
+}
+
 std::string ProxyState::RenderMetrics(TimePoint now) const {
   std::ostringstream out;
   out << metrics_.Render() << counters_.Render(stopping_)
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -142,6 +142,12 @@
   }
   std::int64_t calls_in_flight() const { return counters_.calls_in_flight(); }
 
+  // Counts and logs the answers of an exchange that belong to other requests;
+  // `call` is empty for a probe.
+  void RecordStrayAnswers(const CallId& call,
+                          const EndpointId& endpoint,
+                          const ExchangeResult& sent);
+
   // Returns all metrics of the proxy in the Prometheus text format.
   std::string RenderMetrics(TimePoint now) const;
 
