The handover of claims ends within the grace time

Cause: the handover had a time of its own. Calls may last until 11/12 of the grace time, and nothing counted both together.

Change: MaxHandoverTime (pure) leaves half of what is reserved for ending the process, 3 s at most as before; without a grace time nothing changes.

Result: with a fixed time of 3 s the new case "the handover of claims ends within the grace time" fails in three checks (3 s where 750, 250 and 0 ms are wanted); with the change it passes, and the nine stop cases of main_tests pass.

--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -15,11 +15,6 @@
 // The stop is complete when there has been no caller connection for this long.
 constexpr Duration kIdleTimeBeforeStop = std::chrono::milliseconds(50);
 
-// Time for the handover of claims at a stop: for outcomes that no replica has
-// acknowledged and for buckets that no other host has taken over. After it
-// their keys are rejected or answered as unknown.
-constexpr Duration kHandoverTimeout = std::chrono::seconds(3);
-
 FleetNodeOptions MakeFleetOptions(const Settings& settings,
                                   Incarnation incarnation,
                                   const FleetGates& gates) {
@@ -155,8 +150,13 @@
                     std::max<std::int64_t>(hosts, 1), Clock::now());
 }
 
-void Daemon::WaitForHandover() const {
-  const TimePoint last = Clock::now() + kHandoverTimeout;
+// Waits for outcomes that no replica has acknowledged and for buckets that no
+// other host has taken over. After that their keys are rejected or answered as
+// unknown.
+void Daemon::WaitForHandover(TimePoint stop_began) const {
+  const TimePoint now = Clock::now();
+  const TimePoint last =
+      now + MaxHandoverTime(settings_.stop, now - stop_began);
   while (!claims_.IsSafeToStop() && Clock::now() < last) {
     std::this_thread::sleep_for(kStopPoll);
   }
@@ -189,7 +189,7 @@
   }
   const std::int64_t connections = callers_.connections();
   const std::int64_t cut = callers_.Stop();
-  WaitForHandover();
+  WaitForHandover(began);
   fleet_.Stop();
   admin_.Stop();
   spdlog::info("event=stopped host={} cut={} connections={}",
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -48,7 +48,7 @@
   void OnPeerDrainObserved(const DrainObservation& observation) override;
   void PutInForce();
   void RelayDrains();
-  void WaitForHandover() const;
+  void WaitForHandover(TimePoint stop_began) const;
 
   const Settings settings_;
   const Incarnation incarnation_;
--- a/main/settings.cc
+++ b/main/settings.cc
@@ -1,5 +1,6 @@
 #include "main/settings.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 
 #include "main/file_text.h"
@@ -91,18 +92,32 @@
   return json;
 }
 
+Duration PartOfGraceTime(const StopOptions& stop, double fraction) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(stop.grace_seconds * fraction));
+}
+
 }  // namespace
 
 // A fixed time would abort calls that endpoints still process although the
 // platform waits longer; a twelfth of the platform's grace period is reserved
 // for ending the process on a busy host.
 Duration MaxStopTime(const StopOptions& stop) {
+  constexpr double kUsableFraction = 11.0 / 12;
+  return stop.grace_seconds <= 0 ? stop.lag + stop.longest
+                                 : PartOfGraceTime(stop, kUsableFraction);
+}
+
+// Half of the reserved time: a handover that peers do not answer must not last
+// until the platform kills the process.
+Duration MaxHandoverTime(const StopOptions& stop, Duration elapsed) {
+  constexpr Duration kMaxHandover = std::chrono::seconds(3);
+  constexpr double kUsableFraction = 23.0 / 24;
   if (stop.grace_seconds <= 0) {
-    return stop.lag + stop.longest;
+    return kMaxHandover;
   }
-  constexpr double kUsableFraction = 11.0 / 12;
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(stop.grace_seconds * kUsableFraction));
+  return std::clamp(PartOfGraceTime(stop, kUsableFraction) - elapsed,
+                    Duration::zero(), kMaxHandover);
 }
 
 leaf::result<Settings> ParseSettings(std::string_view text,
--- a/main/settings.h
+++ b/main/settings.h
@@ -68,6 +68,9 @@
 
 // Returns the time from the order to stop until calls are aborted.
 Duration MaxStopTime(const StopOptions& stop);
+// Returns how long to wait for the handover of claims when the calls have ended
+// at `elapsed` after the order to stop.
+Duration MaxHandoverTime(const StopOptions& stop, Duration elapsed);
 
 // All settings of one daemon.
 struct Settings {
--- a/tests/main/test_settings.cc
+++ b/tests/main/test_settings.cc
@@ -192,5 +192,18 @@
   CHECK(ErrorOf(json).kind == ErrorKind::kInvalidAddress);
 }
 
+// Guards against a host whose peers have stopped too: it waited for the
+// handover of its claims until the platform killed it.
+TEST_CASE("the handover of claims ends within the grace time") {
+  using std::chrono::milliseconds;
+  StopOptions stop;
+  CHECK(MaxHandoverTime(stop, std::chrono::minutes(1)) == milliseconds(3000));
+  stop.grace_seconds = 6;
+  CHECK(MaxHandoverTime(stop, milliseconds(100)) == milliseconds(3000));
+  CHECK(MaxHandoverTime(stop, milliseconds(5000)) == milliseconds(750));
+  CHECK(MaxHandoverTime(stop, MaxStopTime(stop)) == milliseconds(250));
+  CHECK(MaxHandoverTime(stop, milliseconds(6000)) == milliseconds(0));
+}
+
 }  // namespace
 }  // namespace damasktack
