A repeated refusal without a call id refuses no idempotent call

Cause: a refusal that names no call was taken for the answer to any idempotent call, also on a connection that had carried such a refusal before. Its late copy then ended the next call. Only calls that must not run twice kept off such connections.

Change: every call whose answers name it is written only on a connection on which each earlier answer was attributed beyond doubt, and a refusal without an id counts only there. Probes use the other connections. ExpectedAnswer and EndpointExchange lose the distinction between calls that need certainty and calls that do not.

The property over late, repeated and foreign answers now also asserts that no refused idempotent call has run. Two cases were changed with the rule: the endpoint of "the answer to a probe never refuses the next call" answers every connection, and the next call must be answered on another one; "a call that must not run twice avoids uncertain connections" is "calls avoid connections with a refusal that names no call", for both kinds of calls.

Price: a refusal without an id costs a new connection.

--- a/proxy/answer_matcher.cc
+++ b/proxy/answer_matcher.cc
@@ -71,11 +71,10 @@
   if (answer.names_endpoint && !answer.is_misdirected) {
     return AnswerMatch::kOther;
   }
-  if (expected_->needs_certainty && !is_certain_) {
-    return AnswerMatch::kUnattributable;
-  }
-  if (!answer.is_refusal &&
-      expected_->kind != ExpectedAnswer::Kind::kUnnamedCall) {
+  const bool may_name_no_call =
+      answer.is_refusal ||
+      expected_->kind == ExpectedAnswer::Kind::kUnnamedCall;
+  if (!is_certain_ || !may_name_no_call) {
     return AnswerMatch::kUnattributable;
   }
   // Nothing distinguishes a copy of this answer from the next one.
--- a/proxy/answer_matcher.h
+++ b/proxy/answer_matcher.h
@@ -27,9 +27,6 @@
   Kind kind = Kind::kNextAnswer;
   // Only for kNamedCall.
   std::string call = {};
-  // Whether the call must not run twice, so that only a refusal that is
-  // certainly its own counts.
-  bool needs_certainty = false;
 };
 
 // The parts of an answer by which it is attributed to a request.
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -130,7 +130,6 @@
 ExpectedAnswer EndpointExchange::Expect(std::string expected_call) const {
   using Kind = ExpectedAnswer::Kind;
   ExpectedAnswer expected;
-  expected.needs_certainty = needs_certainty_;
   if (is_probe_) {
     expected.kind = Kind::kProbe;
   } else if (!expected_call.empty()) {
@@ -427,8 +426,9 @@
   StartTimer(std::min(deadline, started_at_ + limits_.connect_timeout));
   ExpectedAnswer expected = Expect(std::move(expected_call));
   needs_.call = expected.call;
+  // A copy of an earlier refusal that names no call would refuse this call.
   needs_.needs_certainty =
-      needs_certainty_ && expected.kind != ExpectedAnswer::Kind::kNextAnswer;
+      !is_probe_ && expected.kind != ExpectedAnswer::Kind::kNextAnswer;
   const bool connected = co_await Connect();
   if (connected && !aborted_) {
     StartTimer(deadline);
--- a/proxy/endpoint_exchange.h
+++ b/proxy/endpoint_exchange.h
@@ -72,13 +72,8 @@
   // Marks a call that must not run twice. Allows only a new or a recently used
   // connection: an endpoint may have dropped an idle connection without closing
   // it, and then the outcome of the next request on it is unknown; a connection
-  // that was used a moment ago is very unlikely to be dropped. Where answers
-  // name their calls, also requires a connection on which every earlier answer
-  // was matched for certain.
-  void RequireRecentConnection() {
-    needs_.max_idle = kRecentUse;
-    needs_certainty_ = true;
-  }
+  // that was used a moment ago is very unlikely to be dropped.
+  void RequireRecentConnection() { needs_.max_idle = kRecentUse; }
   // Allows only a new connection, to learn whether the endpoint can be reached.
   void RequireNewConnection() { needs_.max_idle = Duration::zero(); }
   // Excludes these connections. Sends of one call must not share a connection,
@@ -154,7 +149,6 @@
   bool writing_ = false;
   bool reusable_ = false;
   bool is_probe_ = false;
-  bool needs_certainty_ = false;
   ConnectionNeeds needs_;
   std::vector<StrayAnswer> strays_;
 };
--- a/proxy/endpoint_pool.h
+++ b/proxy/endpoint_pool.h
@@ -35,7 +35,7 @@
   std::optional<Duration> max_idle = {};
   // Only a connection on which every earlier answer was matched for certain.
   bool needs_certainty = false;
-  // Prefers connections that calls which need certainty cannot use.
+  // Prefers connections that calls cannot use.
   bool prefers_uncertain = false;
   // Never a connection that has recently carried this call; empty means none.
   std::string call = {};
--- a/tests/proxy/test_answer_matcher.cc
+++ b/tests/proxy/test_answer_matcher.cc
@@ -54,7 +54,7 @@
     bool is_refused = true;
     for (int n = 0; n < 3 && is_refused; ++n) {
       bool ran = false;
-      const Result result = Send({Kind::kNamedCall, call, true}, ran);
+      const Result result = Send({Kind::kNamedCall, call}, ran);
       runs += ran ? 1 : 0;
       is_refused = result == Result::kRefused;
       RC_ASSERT(!(is_refused && ran));
@@ -64,12 +64,13 @@
   }
   void SendSafe(const std::string& call) {
     bool ran = false;
-    const Result result = Send({Kind::kNamedCall, call, false}, ran);
+    const Result result = Send({Kind::kNamedCall, call}, ran);
+    RC_ASSERT(!(result == Result::kRefused && ran));
     RC_ASSERT(!(result == Result::kAnswered && !ran));
   }
   void SendProbe() {
     bool ran = false;
-    Send({Kind::kProbe, "", false}, ran);
+    Send({Kind::kProbe, ""}, ran);
   }
 
  private:
@@ -78,7 +79,7 @@
     const bool is_new = *rc::gen::inRange(0, 4) == 0;
     for (Connection& it : connections_) {
       if (!is_new && it.is_open && it.matcher.is_settled() &&
-          (it.matcher.is_certain() || !expected.needs_certainty) &&
+          (it.matcher.is_certain() || expected.kind == Kind::kProbe) &&
           !it.matcher.HasCarried(expected.call)) {
         return it;
       }
@@ -182,10 +183,10 @@
   CHECK(!matcher.HasCarried("c"));
   // A refusal without an id counts here, because nothing else can be
   // outstanding. Later ones could be copies of it.
-  CHECK(Ask(matcher, {Kind::kNamedCall, "c", true}, {.is_refusal = true}) ==
+  CHECK(Ask(matcher, {Kind::kNamedCall, "c"}, {.is_refusal = true}) ==
         AnswerMatch::kOwn);
   CHECK(!matcher.is_certain());
-  CHECK(Ask(matcher, {Kind::kNamedCall, "d", true}, {.is_refusal = true}) ==
+  CHECK(Ask(matcher, {Kind::kNamedCall, "d"}, {.is_refusal = true}) ==
         AnswerMatch::kUnattributable);
 }
 
--- a/tests/proxy/test_exchange_matching.cc
+++ b/tests/proxy/test_exchange_matching.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -31,14 +32,15 @@
 // the next call, which ran.
 TEST_CASE("the answer to a probe never refuses the next call") {
   const RawEndpoint endpoint([](RawConnection& it) {
-    it.ReadMessage();
-    it.Send(NamedAnswer("a", "read"));
-    it.ReadMessage();
-    it.Send(NamedAnswer("a", "read"));
+    const std::string answer =
+        NamedAnswer(HeaderOf(it.ReadMessage(), kCallIdName), "read");
+    it.Send(answer);
+    if (it.ReadMessage().empty()) {
+      return;
+    }
+    it.Send(answer);
     std::this_thread::sleep_for(milliseconds(20));
     it.Send(Shed());
-    it.ReadMessage();
-    it.Send(NamedAnswer("b", "ran"));
     it.WaitForHangUp();
   });
   ExchangeFixture exchanges(endpoint);
@@ -47,11 +49,10 @@
   const ExchangeResult probe = exchanges.Send(Kind::kProbe, "");
   CHECK(probe.result == SendResult::kShed);
   CHECK(probe.connection == read.connection);
-  // The connection carried an answer without an id, so only calls that may run
-  // twice may use it.
+  // The connection carried an answer without an id, so no call may use it.
   const ExchangeResult next = exchanges.Send(Kind::kSafe, "b");
   CHECK(next.result == SendResult::kAnswered);
-  CHECK(next.connection == read.connection);
+  CHECK(next.connection != read.connection);
 }
 
 // Guards against a late copy of a refusal that ends the next send of the same
@@ -79,21 +80,45 @@
   CHECK(endpoint.connections() == 3);
 }
 
-// Guards against a call that must not run twice on a connection on which a
-// refusal without an id may be the answer to another request.
-TEST_CASE("a call that must not run twice avoids uncertain connections") {
+// Guards against a call on a connection on which a refusal without an id may be
+// the copy of an earlier one.
+TEST_CASE("calls avoid connections with a refusal that names no call") {
   const RawEndpoint endpoint([](RawConnection& it) {
     while (!it.ReadMessage().empty()) {
       it.Send(Shed());
     }
   });
+  for (const Kind kind : {Kind::kUnsafe, Kind::kSafe}) {
+    ExchangeFixture exchanges(endpoint);
+    const ExchangeResult first = exchanges.Send(kind, "a");
+    CHECK(first.result == SendResult::kShed);
+    const ExchangeResult second = exchanges.Send(kind, "b");
+    CHECK(second.result == SendResult::kShed);
+    CHECK(second.connection != first.connection);
+    const ExchangeResult probe = exchanges.Send(Kind::kProbe, "");
+    CHECK(probe.connection <= second.connection);
+  }
+}
+
+// Guards against a late copy of a refusal without an id that refuses another,
+// idempotent call while the endpoint runs it.
+TEST_CASE("a copy of a refusal that names no call refuses no read") {
+  std::atomic<int> received = 0;
+  const RawEndpoint endpoint([&](RawConnection& it) {
+    std::string copy;
+    for (std::string request = it.ReadMessage(); !request.empty();
+         request = it.ReadMessage()) {
+      if (++received == 1) {
+        copy = Shed();
+        it.Send(copy);
+        continue;
+      }
+      it.Send(copy + NamedAnswer(HeaderOf(request, kCallIdName), "ran"));
+    }
+  });
   ExchangeFixture exchanges(endpoint);
-  const ExchangeResult first = exchanges.Send(Kind::kUnsafe, "a");
-  CHECK(first.result == SendResult::kShed);
-  CHECK(exchanges.Send(Kind::kSafe, "b").connection == first.connection);
-  const ExchangeResult second = exchanges.Send(Kind::kUnsafe, "c");
-  CHECK(second.result == SendResult::kShed);
-  CHECK(second.connection != first.connection);
+  CHECK(exchanges.Send(Kind::kSafe, "a").result == SendResult::kShed);
+  CHECK(exchanges.Send(Kind::kSafe, "b").result == SendResult::kAnswered);
 }
 
 }  // namespace
