A relayed call with an unknown outcome is never answered as refused

Evidence: with the change taken out, "a relayed call is unknown if the peer's answer states no outcome" fails (503); with it, it passes. "A call that a stopping peer cannot finish goes on to the next one" is a trace of the path: a stopping peer refuses what it cannot finish, the call is served by the next peer, and a relaying host that stops too refuses it as not run. It passes with and without this change.

--- a/proxy/call_sends.cc
+++ b/proxy/call_sends.cc
@@ -350,8 +350,10 @@
   const bool is_unsure = relayed.outcome == Outcome::kNotRun &&
                          before.outcome() != Outcome::kNotRun;
   if (!relayed.answer || is_unsure) {
+    // The status of a refusal would say that nothing ran.
+    const bool is_refusal = SurelyNotRun(relayed.last);
     const FailureKind kind =
-        is_unsure ? FailureKind::kBroken : KindOf(relayed.last);
+        is_unsure || is_refusal ? FailureKind::kBroken : KindOf(relayed.last);
     co_return CallResult{Outcome::kUnknown, std::nullopt, MakeFailure(kind)};
   }
   co_return CallResult{relayed.outcome, std::move(relayed.answer), {}};
--- a/tests/proxy/test_call_relay.cc
+++ b/tests/proxy/test_call_relay.cc
@@ -365,5 +365,48 @@
   CHECK(StatusOf(cut.Ask(Request("POST", "/write/x", "c-2"))) == 200);
 }
 
+// Guards against calls that are cut off, or refused by a fleet that can serve
+// them, because the peer that they are relayed to ends too soon.
+TEST_CASE("a call that a stopping peer cannot finish goes on to the next one") {
+  const Endpoints endpoints;
+  const Host stopping("b", endpoints.ports());
+  const Host peer("c", endpoints.ports());
+  Host cut("a", CutPorts());
+  Cut(cut);
+  cut.SetPeers({&stopping, &peer});
+  stopping.server().AnnounceStop(Clock::now() + milliseconds(1000));
+  for (int n = 0; n < 10; ++n) {
+    CHECK(StatusOf(cut.Ask(Request("POST", "/write/x", CallId(n)))) == 200);
+  }
+  CHECK(endpoints.runs() == 10);
+  cut.server().AnnounceStop(Clock::now() + milliseconds(1000));
+  const std::string refused = cut.Ask(Request("POST", "/write/x", "c-last"));
+  CHECK(StatusOf(refused) == 503);
+  CHECK(HeaderOf(refused, "Damasktack-Outcome") == "not-run");
+  CHECK(endpoints.runs() == 10);
+}
+
+// Guards against a caller that is told that nothing ran by an answer in which
+// the peer states no outcome.
+TEST_CASE("a relayed call is unknown if the peer's answer states no outcome") {
+  const RawEndpoint peer([](RawConnection& it) {
+    for (std::string request = it.ReadMessage(); !request.empty();
+         request = it.ReadMessage()) {
+      it.Send(
+          "HTTP/1.1 503 Service Unavailable\r\nX-Damasktack-Not-Executed: "
+          "1\r\n" +
+          std::string(kCall) + ": " + HeaderOf(request, kCall) +
+          "\r\nContent-Length: 0\r\n\r\n");
+    }
+  });
+  Host cut("a", CutPorts());
+  Cut(cut);
+  cut.state().relay_directory().SetPeers(
+      {{HostId("b"), ZoneId("z"), {"127.0.0.1", peer.port()}}});
+  const std::string answer = cut.Ask(Request("POST", "/write/x", "c-1"));
+  CHECK(StatusOf(answer) == 502);
+  CHECK(HeaderOf(answer, "Damasktack-Outcome") == "unknown");
+}
+
 }  // namespace
 }  // namespace damasktack
