--- a/tests/proxy/test_stopping_host.cc
+++ b/tests/proxy/test_stopping_host.cc
@@ -76,13 +76,15 @@
 
 // Keeps three requests in flight on one connection until an answer closes it.
 // Returns the number of answers to requests that ran; -1 if the connection
-// ended in another way.
+// ended in another way, or is still open after more answers than fit into a
+// stop.
 int CallUntilClosed(RawConnection caller, std::string_view method) {
+  constexpr int kMaxAnswers = 400;
   for (int n = 0; n < 3; ++n) {
     caller.Send(Request(method));
   }
   int ran = 0;
-  while (true) {
+  for (int n = 0; n < kMaxAnswers; ++n) {
     const std::string answer = caller.ReadMessage();
     if (StatusOf(answer) == 0) {
       return -1;
@@ -93,6 +95,7 @@
     }
     caller.Send(Request(method));
   }
+  return -1;
 }
 
 // Guards against a caller that pipelines and thereby keeps its connection until
--- a/tests/support/daemon_fleets.h
+++ b/tests/support/daemon_fleets.h
@@ -175,6 +175,7 @@
     return detail::CallerPorts(daemons_);
   }
 
+  Daemon& daemon(std::size_t n) { return *daemons_[n]; }
   const Daemon& daemon(std::size_t n) const { return *daemons_[n]; }
 
   // The header with the call ID.
