Test: a stopping host serves calls with an idempotency key

Traced clean: with three hosts, each of 30 such calls during the stop of one is served and runs once. The first form of the test failed because a host that has just started has no part of the customer's limit (429, limit); it waits for that now.

Seen beside it: the daemon with documents accepts connections until none is open, so a caller that connects without a pause keeps its stop until the end (two minutes without a grace time). No call is cut.

--- a/tests/main/test_graceful_stop.cc
+++ b/tests/main/test_graceful_stop.cc
@@ -11,6 +11,7 @@
 #include "main/daemon.h"
 #include "standin/standin_endpoint.h"
 #include "standin/standin_platform.h"
+#include "tests/support/daemon_fleets.h"
 
 namespace damasktack {
 namespace {
@@ -189,5 +190,35 @@
   CHECK(setup.first.executions() == seen);
 }
 
+// Guards against calls with a key that fail at a host because its stop has
+// begun to hand claims over.
+TEST_CASE("a stopping host serves calls with an idempotency key") {
+  StandinEndpoint endpoint(StandinEndpointOptions{.slots = 64});
+  const std::uint16_t port = endpoint.Start(0);
+  DocumentFleet fleet(
+      3, {port}, R"([{"service": "dispatch"}])",
+      [](Settings& settings) { settings.stop.lag = milliseconds(600); });
+  auto status_of_next = [&, calls = 0]() mutable {
+    httplib::Client client("127.0.0.1", fleet.daemon(0).caller_port());
+    const auto answer =
+        client.Post("/dispatch/cut",
+                    {{"Damasktack-Key", "key"},
+                     {"Idempotency-Key", "k" + std::to_string(++calls)}},
+                    "", "text/plain");
+    return answer ? answer->status : 0;
+  };
+  // A host that has just started has no part of the customer's limit yet.
+  while (status_of_next() != 200) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  std::thread stop([&] { fleet.daemon(0).Stop(); });
+  for (int n = 0; n < 30; ++n) {
+    CHECK(status_of_next() == 200);
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  stop.join();
+  CHECK(endpoint.executions() == 31);
+}
+
 }  // namespace
 }  // namespace damasktack
