--- a/tests/proxy/test_exchange_matching.cc
+++ b/tests/proxy/test_exchange_matching.cc
@@ -121,5 +121,73 @@
   CHECK(exchanges.Send(Kind::kSafe, "b").result == SendResult::kAnswered);
 }
 
+// Guards against a caller that is told that nothing ran, because the late copy
+// of a first refusal ended the next send of its call at the same endpoint.
+TEST_CASE("a repeated refusal does not hide that a later send ran") {
+  std::atomic<int> arrivals = 0;
+  const RawEndpoint endpoint([&](RawConnection& it) {
+    std::string copy;
+    for (std::string request = it.ReadMessage(); !request.empty();
+         request = it.ReadMessage()) {
+      const std::string call = HeaderOf(request, kCallIdName);
+      if (call.empty()) {
+        it.Send(OkAnswer("",
+                         "X-Damasktack-Instance-Id: i-0\r\n"
+                         "X-Damasktack-Server-Load: 0,0,16,100\r\n"));
+      } else if (++arrivals == 1) {
+        copy = Shed(call);
+        it.Send(copy);
+      } else {
+        it.Send(copy + NamedAnswer(call, "ran"));
+      }
+    }
+  });
+  ProxyOptions options = ProxyFixture::FastOptions();
+  options.names = KvProtocolNames();
+  options.measures_before_sending = true;
+  ProxyFixture proxy({.options = options});
+  Route traits;
+  traits.timeout = std::chrono::seconds(2);
+  traits.attempt_limit = 3;
+  traits.contract.retry_percent = 100;
+  proxy.state().SetRouting(MakeReadWriteRoutes({endpoint.port()}, traits), 1,
+                           Clock::now());
+  const std::string answer = proxy.Ask(
+      "POST /write/x HTTP/1.1\r\nHost: a.example\r\n" +
+      std::string(kCallIdName) +
+      ": c-1\r\nX-Damasktack-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n");
+  CHECK(arrivals == 2);
+  CHECK(StatusOf(answer) == 200);
+  CHECK(BodyOf(answer) == "ran");
+}
+
+// Guards against the same where answers name no call: only the connections of
+// the call's earlier sends can be excluded then.
+TEST_CASE("a repeated refusal that names no call hides no later send") {
+  const std::string refusal =
+      "HTTP/1.1 503 Service Unavailable\r\nEndpoint-Shed: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  std::atomic<int> arrivals = 0;
+  const RawEndpoint endpoint([&](RawConnection& it) {
+    std::string copy;
+    for (std::string request = it.ReadMessage(); !request.empty();
+         request = it.ReadMessage()) {
+      if (!request.starts_with("POST")) {
+        it.Send(
+            OkAnswer("", "Endpoint-Load: in_flight=0, queued=0, slots=6\r\n"));
+      } else if (++arrivals == 1) {
+        copy = refusal;
+        it.Send(copy);
+      } else {
+        it.Send(copy + OkAnswer("ran"));
+      }
+    }
+  });
+  const ProxyFixture proxy({.endpoint_ports = {endpoint.port()}});
+  const std::string answer = proxy.Ask(PostRequest("cut"));
+  CHECK(arrivals == 2);
+  CHECK(BodyOf(answer) == "ran");
+}
+
 }  // namespace
 }  // namespace damasktack
