--- a/tests/main/test_graceful_stop.cc
+++ b/tests/main/test_graceful_stop.cc
@@ -195,9 +195,11 @@
 TEST_CASE("a stopping host serves calls with an idempotency key") {
   StandinEndpoint endpoint(StandinEndpointOptions{.slots = 64});
   const std::uint16_t port = endpoint.Start(0);
-  DocumentFleet fleet(
-      3, {port}, R"([{"service": "dispatch"}])",
-      [](Settings& settings) { settings.stop.lag = milliseconds(600); });
+  DocumentFleet fleet(3, {port}, R"([{"service": "dispatch"}])",
+                      [](Settings& settings) {
+                        settings.claims.quarantine = {};
+                        settings.stop.lag = milliseconds(600);
+                      });
   auto status_of_next = [&, calls = 0]() mutable {
     httplib::Client client("127.0.0.1", fleet.daemon(0).caller_port());
     const auto answer =
