--- a/proxy/call_log.h
+++ b/proxy/call_log.h
@@ -67,8 +67,8 @@
   int sends = 0;
   // Time since the request was read.
   Duration age{};
-  // Time from the begin of the stop until the request was read; negative if it
-  // was read before the stop.
+  // Time from the beginning of the stop until the request was read; negative if
+  // it was read before the stop.
   Duration read_after{};
   // Time left until the call's deadline; negative if it has passed.
   Duration left{};
