One number out of range no longer keeps a configuration out of force

Cause: the decoder of published configurations failed the whole value for each number outside a range of its own, although the store holds only valid ones. Evidence: `published-value-refused` names limits.max_body_bytes on each host that reads the store; without the larger limit all hosts follow.

Change: NumberReader uses the nearest supported number and reports it once (published-value-adjusted, with the range).

--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -215,6 +215,9 @@
   for (const Error& it : feed_.view().TakeRefused()) {
     spdlog::error("event=published-value-refused {}", ToString(it));
   }
+  for (const Error& it : feed_.view().TakeAdjusted()) {
+    spdlog::warn("event=published-value-adjusted {}", ToString(it));
+  }
   const std::int64_t hosts = feed_.KnownHosts();
   const bool has_new_size =
       hosts != reported_hosts_ && IsNewSize(reported_hosts_, hosts);
--- a/fleet/published_source.h
+++ b/fleet/published_source.h
@@ -52,6 +52,14 @@
   bool operator==(const UnreadableValue&) const = default;
 };
 
+// A value that is in force except for one number, which is used as the nearest
+// supported one. Stands beside the value itself; not sent to peers.
+struct AdjustedValue {
+  Error error;
+
+  bool operator==(const AdjustedValue&) const = default;
+};
+
 // RouteTableDelta is only received from peers; the store always holds the full
 // table.
 using PublishedValue = std::variant<RouteTable,
@@ -60,7 +68,8 @@
                                     RemovedEndpoint,
                                     UnusableEndpoint,
                                     ZoneDrain,
-                                    UnreadableValue>;
+                                    UnreadableValue,
+                                    AdjustedValue>;
 
 struct PublishedItem {
   // Revision of the last change; revisions increase across all items within one
--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -24,6 +24,8 @@
 // faulty writer leaves in a store.
 constexpr std::size_t kMaxRecordedRefusals = 4096;
 constexpr std::size_t kMinTableToDeltaRatio = 4;
+// Maximum number of adjusted numbers that are recorded, with the same effect.
+constexpr std::size_t kMaxRecordedAdjustments = 256;
 
 // An endpoint whose remaining cold time exceeds the expected one by at least
 // this much has become cold again; the jitter of heartbeats and of their
@@ -206,6 +208,8 @@
   } else if (const auto* drain = std::get_if<ZoneDrain>(&item.value)) {
     const bool is_new = drained_zones_.Take(*drain, item.revision);
     changed_ = changed_ || is_new;
+  } else if (const auto* adjusted = std::get_if<AdjustedValue>(&item.value)) {
+    ApplyAdjusted(adjusted->error);
   } else {
     const Error& error = std::get<UnreadableValue>(item.value).error;
     if (unreadable_ != error) {
@@ -215,6 +219,18 @@
   }
 }
 
+void PublishedView::ApplyAdjusted(const Error& error) {
+  if (std::ranges::find(known_adjustments_, error) !=
+      known_adjustments_.end()) {
+    return;
+  }
+  if (known_adjustments_.size() >= kMaxRecordedAdjustments) {
+    known_adjustments_.clear();
+  }
+  known_adjustments_.push_back(error);
+  adjusted_.push_back(error);
+}
+
 // Removes the endpoint at once. The store still has a value under the ID, so
 // its lease has not expired, and the grace period of entries missing after an
 // outage does not apply.
@@ -544,4 +560,8 @@
   return std::exchange(refused_, {});
 }
 
+std::vector<Error> PublishedView::TakeAdjusted() {
+  return std::exchange(adjusted_, {});
+}
+
 }  // namespace damasktack
--- a/fleet/published_view.h
+++ b/fleet/published_view.h
@@ -91,6 +91,8 @@
   // Returns the errors of values rejected since the last call; each value is
   // reported once, however often it is read.
   std::vector<Error> TakeRefused();
+  // As TakeRefused, for the numbers that were adjusted.
+  std::vector<Error> TakeAdjusted();
 
  private:
   struct Entry {
@@ -144,6 +146,7 @@
   void ApplyEndpoint(const PublishedEndpoint& endpoint,
                      Revision revision,
                      TimePoint now);
+  void ApplyAdjusted(const Error& error);
   void ApplyUnusable(const UnusableEndpoint& unusable, Revision revision);
   void SetEndpoint(Entry& entry,
                    const PublishedEndpoint& endpoint,
@@ -180,6 +183,9 @@
   // The last rejected revision of each endpoint, so that it is reported once.
   std::map<EndpointId, Revision> refused_endpoints_;
   std::optional<Error> unreadable_;
+  std::vector<Error> adjusted_;
+  // The adjustments that have been reported.
+  std::vector<Error> known_adjustments_;
   Revision revision_ = 0;
   bool changed_ = false;
 };
--- a/tests/platform/test_foreign_entries.cc
+++ b/tests/platform/test_foreign_entries.cc
@@ -27,6 +27,11 @@
   return bytes;
 }
 
+leaf::result<RouteTable> DecodeTable(std::string_view bytes) {
+  std::vector<Error> adjusted;
+  return DecodeRouteTable(bytes, adjusted);
+}
+
 bool IsUsable(const std::string& id, const std::string& bytes) {
   return !CaptureError([&]() -> leaf::result<void> {
     BOOST_LEAF_CHECK(DecodeEndpoint(id, bytes));
@@ -219,7 +224,7 @@
     }
     // Also decode the same bytes as a route table and as a watch response.
     CaptureError([&]() -> leaf::result<void> {
-      BOOST_LEAF_CHECK(DecodeRouteTable(bytes));
+      BOOST_LEAF_CHECK(DecodeTable(bytes));
       BOOST_LEAF_CHECK(DecodeKvEvents(bytes));
       return {};
     });
--- a/tests/platform/test_kv_client.cc
+++ b/tests/platform/test_kv_client.cc
@@ -48,6 +48,11 @@
   return bytes;
 }
 
+leaf::result<RouteTable> DecodeTable(std::string_view bytes) {
+  std::vector<Error> adjusted;
+  return DecodeRouteTable(bytes, adjusted);
+}
+
 template <typename Body>
 std::optional<Error> ErrorOf(Body body) {
   return CaptureError([&]() -> leaf::result<void> {
@@ -70,8 +75,8 @@
 }
 
 TEST_CASE("a published route table is decoded") {
-  const auto route_table = Require<RouteTable>(
-      [] { return DecodeRouteTable(ToCbor(kRouteTableJson)); });
+  const auto route_table =
+      Require<RouteTable>([] { return DecodeTable(ToCbor(kRouteTableJson)); });
   CHECK(route_table.version == 7);
   REQUIRE(route_table.routes.size() == 2);
   const Route& safe = route_table.routes[0];
@@ -109,7 +114,7 @@
   const std::string safe = R"("safe")";
   json.replace(json.find(safe), safe.size(), '"' + kind + '"');
   const auto route_table =
-      Require<RouteTable>([&] { return DecodeRouteTable(ToCbor(json)); });
+      Require<RouteTable>([&] { return DecodeTable(ToCbor(json)); });
   spdlog::set_default_logger(before);
   return {route_table.routes[0].idempotent, log.str()};
 }
@@ -159,7 +164,7 @@
         with(route_table, R"("rows")", R"("lines")"),
         with(route_table, R"("columns")", R"("names")")}) {
     CAPTURE(it);
-    const auto fault = ErrorOf([&] { return DecodeRouteTable(ToCbor(it)); });
+    const auto fault = ErrorOf([&] { return DecodeTable(ToCbor(it)); });
     REQUIRE(fault);
     CHECK(!fault->remedy.empty());
   }
@@ -178,7 +183,7 @@
        {ToCbor(kRouteTableJson), ToCbor(kEndpointJson)}) {
     for (std::size_t n = 0; n < whole.size(); ++n) {
       CAPTURE(n);
-      CHECK(ErrorOf([&] { return DecodeRouteTable(whole.substr(0, n)); }));
+      CHECK(ErrorOf([&] { return DecodeTable(whole.substr(0, n)); }));
       CHECK(ErrorOf([&] { return DecodeEndpoint("i", whole.substr(0, n)); }));
     }
   }
@@ -186,7 +191,7 @@
   // JSON library decodes both by recursion.
   for (const char it : {'\x81', '\x7f'}) {
     const std::string deep(1U << 20U, it);
-    CHECK(ErrorOf([&] { return DecodeRouteTable(deep); }));
+    CHECK(ErrorOf([&] { return DecodeTable(deep); }));
     CHECK(ErrorOf([&] { return DecodeKvPage(deep); }));
   }
 }
@@ -195,7 +200,7 @@
     "a route table with an unusable route or service is rejected as a whole") {
   const auto is_rejected = [](auto change) {
     auto route_table = Require<RouteTable>(
-        [] { return DecodeRouteTable(ToCbor(kRouteTableJson)); });
+        [] { return DecodeTable(ToCbor(kRouteTableJson)); });
     change(route_table);
     return ErrorOf([&] { return CheckRouteTable(route_table); }).has_value();
   };
