Followers take every configuration that a reader of the store takes

Cause: a store value may hold 2 Mi CBOR values, a message between hosts 65,536.

Change: a frame may hold 524,288 values and 2 MB, so that the routes of the largest value of the store fit, in whichever encoding is longer.

Measured: "a configuration as large as the store holds fits into a message" (15,000 routes) red before, green after.

--- a/fleet/peer_codec.cc
+++ b/fleet/peer_codec.cc
@@ -52,7 +52,7 @@
                 std::to_string(frame.size()) + " bytes",
                 "send at most " + std::to_string(kMaxPeerFrameBytes));
   }
-  BOOST_LEAF_AUTO(json, ParseCbor(frame, "peer frame"));
+  BOOST_LEAF_AUTO(json, ParseCbor(frame, "peer frame", kMaxPeerFrameItems));
   std::uint64_t version = 0;
   std::string kind;
   JsonReader reader(json, "envelope");
--- a/fleet/peer_codec.h
+++ b/fleet/peer_codec.h
@@ -15,8 +15,12 @@
 // Only increased if an older daemon would misinterpret a message. New fields
 // and kinds need no new version because unknown ones are ignored.
 inline constexpr std::uint64_t kPeerProtocolVersion = 1;
-// The maximum document size plus its envelope.
-inline constexpr std::size_t kMaxPeerFrameBytes = kMaxDocumentBytes + 4096;
+// Twice the maximum size of a document or of a value in the store, since a
+// message may encode the same routes in more bytes.
+inline constexpr std::size_t kMaxPeerFrameBytes = 2 * kMaxDocumentBytes + 4096;
+// Maximum number of CBOR values in a frame. The routes of the largest value in
+// the store take fewer.
+inline constexpr std::size_t kMaxPeerFrameItems = 1 << 19;
 
 // Encodes a message as one frame: a CBOR map {v: version, kind: string, body:
 // map}.
--- a/tests/platform/test_published_limits.cc
+++ b/tests/platform/test_published_limits.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/peer_codec.h"
 #include "fleet/published_view.h"
 #include "fleet/route_messages.h"
 #include "platform/kv_client.h"
@@ -191,6 +192,37 @@
   CHECK(view.TakeAdjusted().empty());
 }
 
+// Guards against a configuration that a reader of the store takes and cannot
+// pass on: its followers would keep the one before for good.
+TEST_CASE("a configuration as large as the store holds fits into a message") {
+  constexpr std::size_t kMaxValueBytes = 1 << 20;
+  constexpr std::size_t kRoutes = 15'000;
+  Json config = ValidConfig();
+  Json& rows = config["routes"]["rows"];
+  const Json last = rows[1];
+  while (rows.size() < kRoutes) {
+    rows.push_back(last);
+    rows.back()[0] = "r-" + std::to_string(rows.size());
+    rows.back()[2] = "/" + std::to_string(rows.size()) + "/";
+  }
+  REQUIRE(Json::to_cbor(config).size() < kMaxValueBytes);
+  const auto routes = RoutesInForce(config);
+  REQUIRE(routes);
+  FeedUpdate update;
+  update.changes.items.push_back({9, *routes});
+  const std::string frame = EncodePeerMessage(update);
+  std::optional<PeerMessage> received;
+  const auto error = CaptureError([&]() -> leaf::result<void> {
+    BOOST_LEAF_ASSIGN(received, DecodePeerMessage(frame));
+    return {};
+  });
+  REQUIRE(!error);
+  REQUIRE(received);
+  const auto& items = std::get<FeedUpdate>(*received).changes.items;
+  REQUIRE(items.size() == 1);
+  CHECK(std::get<RouteTable>(items[0].value) == *routes);
+}
+
 TEST_CASE("generated configurations: a follower takes what its feeder reads") {
   CHECK(rc::check([] {
     const auto number = [] {
