A published limit on heads beyond 32 bits refuses no request

Cause: the limit was cast to 32 bits before the end of the head was added.

Change: heads end at 16 MiB or at the published limit, whichever is smaller, so that the sum fits and no caller fills a host's memory with one head.

Measured: "a limit on heads beyond 32 bits refuses no request" red before (400), green after.

--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::size_t kReadChunk = 4096;
+// Limit on the head of a request, whatever limit is published.
+constexpr std::int64_t kMaxHeadBytes = 16 << 20;
 // An idle connection releases a buffer that grew beyond this size.
 constexpr std::size_t kMaxIdleBufferBytes = 16U << 10U;
 // Longer than peers keep idle connections, so that they close them first.
@@ -39,6 +41,10 @@
   return {static_cast<const char*>(buf.data().data()), buf.size()};
 }
 
+std::size_t HeadLimit(const CallerLimits& limits) {
+  return static_cast<std::size_t>(std::min(limits.header_bytes, kMaxHeadBytes));
+}
+
 std::ptrdiff_t CountFields(const HttpRequest& request) {
   return std::distance(request.begin(), request.end());
 }
@@ -247,8 +253,7 @@
 
 asio::awaitable<std::optional<Failure>> CallerSession::ReadHead(
     Parser& parser) {
-  const auto max_bytes =
-      static_cast<std::size_t>(state_.caller_limits().header_bytes);
+  const std::size_t max_bytes = HeadLimit(state_.caller_limits());
   std::size_t end = std::string_view::npos;
   while (end == std::string_view::npos) {
     const std::string_view text = TextOf(buf_);
@@ -339,8 +344,8 @@
 asio::awaitable<std::optional<Failure>> CallerSession::ReadRequest(
     Parser& parser) {
   const CallerLimits caller_limits = state_.caller_limits();
-  parser.header_limit(static_cast<std::uint32_t>(caller_limits.header_bytes) +
-                      static_cast<std::uint32_t>(kEndOfHead.size()));
+  parser.header_limit(
+      static_cast<std::uint32_t>(HeadLimit(caller_limits) + kEndOfHead.size()));
   parser.body_limit(static_cast<std::uint64_t>(caller_limits.body_bytes));
   parser.eager(true);
   ArmTimer(std::min(
--- a/tests/proxy/test_published_routes.cc
+++ b/tests/proxy/test_published_routes.cc
@@ -101,6 +101,24 @@
   CHECK(BodyOf(seen) == "body");
 }
 
+// Guards against a published limit that wraps around: with a limit of 4 GiB on
+// heads every request would be refused as too large.
+TEST_CASE("a limit on heads beyond 32 bits refuses no request") {
+  const RawEndpoint endpoint([&](RawConnection& it) {
+    it.Send(AnswerTo(it.ReadMessage(), "ran"));
+    it.WaitForHangUp();
+  });
+  const RouteFixture proxy({endpoint.port()});
+  const RoutingTablePtr routing = proxy.state().routing();
+  auto routes = std::make_shared<RouteTable>(*routing->book());
+  routes->version = 2;
+  routes->limits.header_bytes = std::int64_t{1} << 32;
+  proxy.state().SetRouting(
+      std::make_shared<RoutingTable>(routes, routing->services()), 1,
+      Clock::now());
+  CHECK(StatusOf(proxy.Ask(Request("GET", "/read/x", "c-1"))) == 200);
+}
+
 // A caller reaches a host that has just started and has no routes yet. An
 // immediate refusal would use up the caller's retry although the host gets the
 // routes a moment later, so the call must wait for them.
