Revisions of the store have 64 bits at all hosts

Cause: era and revision were packed into one number of 64 bits and a revision cut to 44 of them, so that all larger ones became the same and a follower seemed to have everything. Evidence: the reading host follows, those that it feeds do not; a simulated fleet shows the same from revision 2^44 - 8 on.

Change: StoreRevision is a pair of era and number, compared in this order, in the view, in the feed and in messages. Small ones are encoded as before, so that hosts of both builds feed each other; larger ones as a pair, which an older host refuses, and a number that an older host may have cut is refused: either then reads the store itself.

The test of the packing functions, which are gone, is replaced by one of the pair's order up to the largest revision.

--- a/fleet/drained_zones.cc
+++ b/fleet/drained_zones.cc
@@ -2,7 +2,7 @@
 
 namespace damasktack {
 
-bool DrainedZones::Take(const ZoneDrain& drain, Revision revision) {
+bool DrainedZones::Take(const ZoneDrain& drain, StoreRevision revision) {
   if (states_.size() >= kMaxZones && !states_.contains(drain.zone)) {
     return false;
   }
@@ -15,7 +15,8 @@
   return has_changed;
 }
 
-bool DrainedZones::Retain(const std::set<ZoneId>& present, Revision current) {
+bool DrainedZones::Retain(const std::set<ZoneId>& present,
+                          StoreRevision current) {
   bool has_changed = false;
   for (auto& [zone, state] : states_) {
     if (state.in_force && state.revision <= current &&
@@ -37,7 +38,8 @@
   return zones;
 }
 
-void DrainedZones::AddChangesAfter(Revision after, PublishedItems& out) const {
+void DrainedZones::AddChangesAfter(StoreRevision after,
+                                   PublishedItems& out) const {
   for (const auto& [zone, state] : states_) {
     if (state.revision > after) {
       out.items.push_back({state.revision, ZoneDrain{zone, state.in_force}});
@@ -45,7 +47,7 @@
   }
 }
 
-void DrainedZones::AddInForceUpTo(Revision revision,
+void DrainedZones::AddInForceUpTo(StoreRevision revision,
                                   PublishedItems& out) const {
   for (const auto& [zone, state] : states_) {
     if (state.in_force && state.revision <= revision) {
--- a/fleet/drained_zones.h
+++ b/fleet/drained_zones.h
@@ -21,23 +21,23 @@
 
   // Applies the state of one zone at a revision. Returns whether the set of
   // drained zones has changed.
-  bool Take(const ZoneDrain& drain, Revision revision);
+  bool Take(const ZoneDrain& drain, StoreRevision revision);
   // Applies a complete read at revision `current`, which contains the drains of
   // `present`. Other drains up to `current` have ended. Returns whether the set
   // of drained zones has changed.
-  bool Retain(const std::set<ZoneId>& present, Revision current);
+  bool Retain(const std::set<ZoneId>& present, StoreRevision current);
 
   // Returns the drained zones.
   std::vector<ZoneId> InForce() const;
   // Adds the changes after a revision to `out`.
-  void AddChangesAfter(Revision after, PublishedItems& out) const;
+  void AddChangesAfter(StoreRevision after, PublishedItems& out) const;
   // Adds the drains in force that began at or before a revision to `out`.
-  void AddInForceUpTo(Revision revision, PublishedItems& out) const;
+  void AddInForceUpTo(StoreRevision revision, PublishedItems& out) const;
 
  private:
   struct DrainState {
     bool in_force = false;
-    Revision revision = 0;
+    StoreRevision revision = 0;
   };
 
   std::map<ZoneId, DrainState> states_;
--- a/fleet/endpoint_messages.cc
+++ b/fleet/endpoint_messages.cc
@@ -44,7 +44,7 @@
 };
 
 Json ToRow(const PublishedEndpoint& endpoint,
-           Revision revision,
+           StoreRevision revision,
            NameList& services,
            NameList& zones) {
   return Json::array({revision, endpoint.spec.id.text(),
@@ -95,7 +95,7 @@
   bool leaving = false;
   std::int64_t started_at_ms = 0;
   JsonReader reader(json, path);
-  reader.Read("revision", item.revision);
+  ReadRevision(reader, "revision", item.revision);
   reader.Read("id", id);
   reader.Read("address", endpoint.spec.address);
   reader.Read("slots", endpoint.spec.slots, 1, kMaxCount);
@@ -171,14 +171,15 @@
                                  const std::string& path,
                                  std::vector<PublishedItem>& items) {
   for (const Json& it : json) {
-    const bool is_pair = it.is_array() && it.size() == 2 &&
-                         it[0].is_number_unsigned() && it[1].is_string();
-    if (!is_pair) {
+    const bool is_pair = it.is_array() && it.size() == 2 && it[1].is_string();
+    const std::optional<StoreRevision> revision =
+        is_pair ? ParseRevision(it[0]) : std::nullopt;
+    if (!revision) {
       return Fail(ErrorKind::kWrongType, path,
                   "not a pair of a revision and an id", std::string(kRemedy));
     }
-    items.push_back({it[0].get<Revision>(),
-                     RemovedEndpoint{EndpointId(it[1].get<std::string>())}});
+    items.push_back(
+        {*revision, RemovedEndpoint{EndpointId(it[1].get<std::string>())}});
   }
   return {};
 }
--- a/fleet/feed_peers.h
+++ b/fleet/feed_peers.h
@@ -20,7 +20,7 @@
   bool is_hello_sent = false;
   // The newest revision that the peer is known to have, because it was sent to
   // or received from it, and the confirmation time of that data.
-  Revision known_revision = 0;
+  StoreRevision known_revision = 0;
   TimePoint known_confirmed_at;
   FeedTransfer transfer;
   // Confirmation time of the last update from the peer, and when its last
--- a/fleet/feed_transfer.h
+++ b/fleet/feed_transfer.h
@@ -16,8 +16,8 @@
   bool IsInProgress(TimePoint now) const { return now < expires_at_; }
 
  private:
-  Revision after_ = 0;
-  Revision current_ = 0;
+  StoreRevision after_ = 0;
+  StoreRevision current_ = 0;
   EndpointId begin_;
   TimePoint expires_at_;
 };
--- a/fleet/published_feed.cc
+++ b/fleet/published_feed.cc
@@ -21,9 +21,9 @@
 constexpr Duration kLongestWait = std::chrono::seconds(1);
 constexpr Duration kShortestWait = std::chrono::milliseconds(1);
 
-std::string ToLogFields(Revision revision) {
-  return "era=" + std::to_string(EraOf(revision)) +
-         " revision=" + std::to_string(StoreRevisionOf(revision));
+std::string ToLogFields(StoreRevision revision) {
+  return "era=" + std::to_string(revision.era) +
+         " revision=" + std::to_string(revision.number);
 }
 
 }  // namespace
@@ -235,15 +235,13 @@
 }
 
 bool PublishedFeed::IsOtherEra(const PublishedItems& items) const {
-  return view_.revision() > 0 &&
-         EraOf(items.current) != EraOf(view_.revision());
+  return view_.revision() > 0 && items.current.era != view_.revision().era;
 }
 
 void PublishedFeed::LogEraChange(const PublishedItems& items) {
   spdlog::warn("event=store-era-changed from={} to={} revision={} current={}",
-               EraOf(view_.revision()), EraOf(items.current),
-               StoreRevisionOf(view_.revision()),
-               StoreRevisionOf(items.current));
+               view_.revision().era, items.current.era, view_.revision().number,
+               items.current.number);
 }
 
 void PublishedFeed::OnReadAll(PublishedItems all, TimePoint now) {
@@ -483,7 +481,7 @@
   feeder_after_outage_ = update.after_outage;
 }
 
-FeedUpdate PublishedFeed::MakeUpdate(Revision after,
+FeedUpdate PublishedFeed::MakeUpdate(StoreRevision after,
                                      PublishedPart part,
                                      TimePoint now) const {
   FeedUpdate update;
@@ -499,7 +497,7 @@
 }
 
 void PublishedFeed::SendUpdate(std::vector<HostId> to,
-                               Revision after,
+                               StoreRevision after,
                                TimePoint now,
                                Outbox& out) {
   for (const HostId& it : to) {
@@ -531,7 +529,7 @@
   }
   // Peers at the same revision share one update; nearly all peers are at the
   // same one.
-  std::map<Revision, std::vector<HostId>> behind;
+  std::map<StoreRevision, std::vector<HostId>> behind;
   for (const auto& [host, peer] : peers_.all()) {
     if (NeedsUpdate(peer)) {
       behind[peer.known_revision].push_back(host);
--- a/fleet/published_feed.h
+++ b/fleet/published_feed.h
@@ -110,12 +110,12 @@
   Duration RereadDelay();
   void Confirm(TimePoint at, std::uint64_t reader);
   bool IsAfterOutage(TimePoint now) const;
-  FeedUpdate MakeUpdate(Revision after,
+  FeedUpdate MakeUpdate(StoreRevision after,
                         PublishedPart part,
                         TimePoint now) const;
   // Sends all changes after `after`; the receivers have everything up to it.
   void SendUpdate(std::vector<HostId> to,
-                  Revision after,
+                  StoreRevision after,
                   TimePoint now,
                   Outbox& out);
   void OnPart(const HostId& host,
--- a/fleet/published_loop.cc
+++ b/fleet/published_loop.cc
@@ -130,7 +130,7 @@
 
 StoreEra PublishedLoop::store_era() const {
   const std::lock_guard lock(mutex_);
-  return EraOf(feed_.view().revision());
+  return feed_.view().revision().era;
 }
 
 std::optional<Duration> PublishedLoop::Age(TimePoint now) const {
@@ -197,7 +197,7 @@
   Revision after = 0;
   {
     const std::lock_guard lock(mutex_);
-    after = StoreRevisionOf(feed_.view().revision());
+    after = feed_.view().revision().number;
   }
   CallStore([&] { return source_.Watch(after, step.time); },
             [&](const PublishedItems& items) {
--- a/fleet/published_messages.cc
+++ b/fleet/published_messages.cc
@@ -33,7 +33,7 @@
                                             const std::string& path) {
   PublishedItem item;
   JsonReader reader(json, path);
-  reader.Read("revision", item.revision);
+  ReadRevision(reader, "revision", item.revision);
   const Json* table = reader.OptionalObject("routes");
   const Json* change =
       table == nullptr ? reader.Object("routes_change") : nullptr;
@@ -72,17 +72,17 @@
                                    const std::string& path,
                                    std::vector<PublishedItem>& items) {
   for (const Json& it : json) {
-    const bool is_row = it.is_array() && it.size() == 3 &&
-                        it[0].is_number_unsigned() && it[1].is_string() &&
+    const bool is_row = it.is_array() && it.size() == 3 && it[1].is_string() &&
                         it[2].is_boolean();
-    if (!is_row) {
+    const std::optional<StoreRevision> revision =
+        is_row ? ParseRevision(it[0]) : std::nullopt;
+    if (!revision) {
       return Fail(ErrorKind::kWrongType, path,
                   "not a row of a revision, a zone and a flag",
                   "check that the sender is a daemon of this system");
     }
-    items.push_back(
-        {it[0].get<Revision>(),
-         ZoneDrain{ZoneId(it[1].get<std::string>()), it[2].get<bool>()}});
+    items.push_back({*revision, ZoneDrain{ZoneId(it[1].get<std::string>()),
+                                          it[2].get<bool>()}});
   }
   return {};
 }
@@ -112,7 +112,7 @@
   JsonReader reader(json, path);
   reader.Read("rank", hello.rank, 0, kNoSeed);
   reader.Read("address", hello.address);
-  reader.Read("revision", hello.revision);
+  ReadRevision(reader, "revision", hello.revision);
   reader.ReadOptional("followers", hello.followers, 0, kMaxCount);
   reader.ReadOptional("seat", hello.host_number.number, HostNumber::kNone,
                       kMaxCount);
@@ -152,8 +152,8 @@
   FeedUpdate update;
   std::vector<std::string> present;
   JsonReader reader(json, path);
-  reader.Read("after", update.after);
-  reader.Read("current", update.changes.current);
+  ReadRevision(reader, "after", update.after);
+  ReadRevision(reader, "current", update.changes.current);
   ReadTime(reader, "age_us", update.age);
   reader.ReadOptional("reader", update.reader);
   reader.ReadOptional("whole", update.whole);
--- a/fleet/published_messages.h
+++ b/fleet/published_messages.h
@@ -24,7 +24,7 @@
   // Address under which peers reach the sender.
   SocketAddress address;
   // Revision of the data that the sender already has.
-  Revision revision = 0;
+  StoreRevision revision = 0;
   // Number of non-seed hosts that the sender feeds.
   std::int64_t followers = 0;
   // Host number of the sender; unknown until a seed has assigned one.
@@ -48,7 +48,7 @@
   static constexpr std::string_view kKind = "feed-eras";
 
   // Base revision: the receiver must have all changes up to it.
-  Revision after = 0;
+  StoreRevision after = 0;
   PublishedItems changes;
   // The sender does not know all removals after `after` because it began to
   // read later. Anything that is neither in the changes nor in `present` is no
--- a/fleet/published_source.h
+++ b/fleet/published_source.h
@@ -12,13 +12,10 @@
 #include "contract/route_table_delta.h"
 #include "core/error.h"
 #include "core/time.h"
+#include "fleet/store_revision.h"
 
 namespace damasktack {
 
-// Counts the returns of a store from an older copy of itself. Each return loses
-// the newest changes, and their revisions are given out again.
-using StoreEra = std::uint64_t;
-
 // An endpoint that is no longer published.
 struct RemovedEndpoint {
   EndpointId id;
@@ -74,7 +71,7 @@
 struct PublishedItem {
   // Revision of the last change; revisions increase across all items within one
   // era of the store.
-  Revision revision = 0;
+  StoreRevision revision = 0;
   PublishedValue value;
 
   bool operator==(const PublishedItem&) const = default;
@@ -83,7 +80,7 @@
 struct PublishedItems {
   std::vector<PublishedItem> items;
   // All changes up to this revision are included.
-  Revision current = 0;
+  StoreRevision current = 0;
   // How often the store has returned from an older copy of itself; not sent to
   // peers.
   StoreEra era = 0;
@@ -91,6 +88,14 @@
   bool operator==(const PublishedItems&) const = default;
 };
 
+// Puts the revisions of items that were read from the store into its era.
+inline void PutInEra(PublishedItems& items) {
+  items.current.era = items.era;
+  for (PublishedItem& it : items.items) {
+    it.revision.era = items.era;
+  }
+}
+
 // Reads and watches the routes, zone drains and endpoints published by the
 // platform; never writes. Errors: kStale if the changes after a revision are no
 // longer kept, kUnreachable, kTimeout, kProtocol.
--- a/fleet/published_view.cc
+++ b/fleet/published_view.cc
@@ -65,8 +65,7 @@
 void PublishedView::ApplyFullRead(const PublishedItems& all,
                                   bool after_outage,
                                   TimePoint now) {
-  const bool has_returned =
-      revision_ > 0 && EraOf(all.current) > EraOf(revision_);
+  const bool has_returned = revision_ > 0 && all.current.era > revision_.era;
   if (has_returned) {
     RenewRemovals(all.current);
   }
@@ -121,7 +120,7 @@
 
 // The copy may list endpoints that had left before the store returned. A live
 // endpoint writes its entry again with its next heartbeat.
-void PublishedView::RenewRemovals(Revision current) {
+void PublishedView::RenewRemovals(StoreRevision current) {
   removal_order_.clear();
   for (auto& [id, revision] : removed_) {
     revision = std::max(revision, current);
@@ -129,7 +128,7 @@
   }
 }
 
-void PublishedView::MarkCompleteAt(Revision revision) {
+void PublishedView::MarkCompleteAt(StoreRevision revision) {
   revision_ = std::max(revision_, revision);
   if (!complete_after_) {
     complete_after_ = revision_;
@@ -157,7 +156,7 @@
 
 void PublishedView::Retain(const Present& present,
                            const EndpointRange& range,
-                           Revision current,
+                           StoreRevision current,
                            bool after_outage,
                            TimePoint now) {
   std::vector<EndpointId> missing;
@@ -235,7 +234,7 @@
 // its lease has not expired, and the grace period of entries missing after an
 // outage does not apply.
 void PublishedView::ApplyUnusable(const UnusableEndpoint& unusable,
-                                  Revision revision) {
+                                  StoreRevision revision) {
   const auto it = endpoints_.find(unusable.id);
   if (it != endpoints_.end() && it->second.revision <= revision) {
     endpoints_.erase(it);
@@ -245,7 +244,7 @@
   if (refused_endpoints_.size() >= kMaxRecordedRefusals) {
     refused_endpoints_.clear();
   }
-  Revision& reported = refused_endpoints_[unusable.id];
+  StoreRevision& reported = refused_endpoints_[unusable.id];
   if (reported < revision) {
     reported = revision;
     refused_.push_back(unusable.error);
@@ -255,8 +254,8 @@
 // Discards only the oldest removal. Discarding all at once would send every
 // endpoint to each follower as soon as the limit is exceeded.
 void PublishedView::RecordRemoval(const EndpointId& removed,
-                                  Revision revision) {
-  Revision& known = removed_[removed];
+                                  StoreRevision revision) {
+  StoreRevision& known = removed_[removed];
   removal_order_.erase({known, removed});
   known = std::max(known, revision);
   removal_order_.insert({known, removed});
@@ -271,7 +270,8 @@
   removal_order_.erase(oldest);
 }
 
-void PublishedView::ApplyRoutes(const RouteTable& table, Revision revision) {
+void PublishedView::ApplyRoutes(const RouteTable& table,
+                                StoreRevision revision) {
   if (routes_ && table.version <= routes_->version) {
     return;
   }
@@ -288,7 +288,7 @@
 }
 
 void PublishedView::ApplyRoutesChange(const RouteTableDelta& change,
-                                      Revision revision) {
+                                      StoreRevision revision) {
   if (routes_ && change.version <= routes_->version) {
     return;
   }
@@ -303,7 +303,7 @@
 }
 
 void PublishedView::RecordTableTransition(const RouteTable& table,
-                                          Revision revision) {
+                                          StoreRevision revision) {
   if (!routes_) {
     return;
   }
@@ -323,7 +323,8 @@
 // A peer that has everything up to `after` holds the table that was current
 // then, which is the base of the first change after `after` if that change is
 // still kept.
-void PublishedView::AddRoutesAfter(Revision after, PublishedItems& out) const {
+void PublishedView::AddRoutesAfter(StoreRevision after,
+                                   PublishedItems& out) const {
   if (!routes_ || routes_revision_ <= after) {
     return;
   }
@@ -340,7 +341,7 @@
 }
 
 void PublishedView::ApplyEndpoint(const PublishedEndpoint& endpoint,
-                                  Revision revision,
+                                  StoreRevision revision,
                                   TimePoint now) {
   const auto removed = removed_.find(endpoint.spec.id);
   if (removed != removed_.end() && removed->second >= revision) {
@@ -459,14 +460,14 @@
   return endpoints;
 }
 
-PublishedItems PublishedView::ChangesAfter(Revision after,
+PublishedItems PublishedView::ChangesAfter(StoreRevision after,
                                            TimePoint now) const {
   PublishedPart all =
       PartAfter(after, {}, std::numeric_limits<std::size_t>::max(), now);
   return std::move(all.changes);
 }
 
-PublishedPart PublishedView::PartAfter(Revision after,
+PublishedPart PublishedView::PartAfter(StoreRevision after,
                                        const EndpointId& begin,
                                        std::size_t max_entries,
                                        TimePoint now) const {
@@ -505,7 +506,7 @@
   return part;
 }
 
-void PublishedView::AddRoutesAndDrains(Revision after,
+void PublishedView::AddRoutesAndDrains(StoreRevision after,
                                        PublishedPart& part) const {
   AddRoutesAfter(after, part.changes);
   drained_zones_.AddChangesAfter(after, part.changes);
@@ -515,8 +516,8 @@
 }
 
 void PublishedView::AddRemovalAfter(
-    Revision after,
-    const std::pair<const EndpointId, Revision>& removal,
+    StoreRevision after,
+    const std::pair<const EndpointId, StoreRevision>& removal,
     PublishedPart& part) {
   if (removal.second > after) {
     part.changes.items.push_back(
@@ -524,7 +525,7 @@
   }
 }
 
-void PublishedView::AddEntryAfter(Revision after,
+void PublishedView::AddEntryAfter(StoreRevision after,
                                   const Entry& entry,
                                   TimePoint now,
                                   PublishedPart& part) {
--- a/fleet/published_view.h
+++ b/fleet/published_view.h
@@ -68,19 +68,19 @@
   const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
   std::vector<PublishedEndpoint> Endpoints() const;
   const DrainedZones& drained_zones() const { return drained_zones_; }
-  Revision revision() const { return revision_; }
+  StoreRevision revision() const { return revision_; }
   // Returns all changes after a revision; everything for 0.
-  PublishedItems ChangesAfter(Revision after, TimePoint now) const;
+  PublishedItems ChangesAfter(StoreRevision after, TimePoint now) const;
   // Returns the changes for peers that have everything up to `after`, starting
   // with the endpoints after `begin`. Contains at least one and at most about
   // `max_entries` endpoint entries, counting IDs in `present` and removals.
-  PublishedPart PartAfter(Revision after,
+  PublishedPart PartAfter(StoreRevision after,
                           const EndpointId& begin,
                           std::size_t max_entries,
                           TimePoint now) const;
   // Whether the changes after `after` contain every removal. A view that was
   // created later does not know the earlier removals.
-  bool KnowsRemovalsAfter(Revision after) const {
+  bool KnowsRemovalsAfter(StoreRevision after) const {
     return complete_after_ && after >= *complete_after_;
   }
   // Whether the view has changed since the last call.
@@ -99,12 +99,12 @@
     PublishedEndpoint endpoint;
     // Revision of the newest write. Most writes are heartbeats without a
     // relevant change.
-    Revision revision = 0;
+    StoreRevision revision = 0;
     // Revision of the newest write that peers must receive. An endpoint that
     // has just started writes a decreasing cold time with each heartbeat;
     // forwarding these writes sent each endpoint to every host twice more and
     // made every host rebuild its endpoint list.
-    Revision forwarded_revision = 0;
+    StoreRevision forwarded_revision = 0;
     std::optional<TimePoint> missing_since;
     // A newer entry with an earlier start time, and since when no other entry
     // has replaced it.
@@ -124,45 +124,45 @@
   };
   void Retain(const Present& present,
               const EndpointRange& range,
-              Revision current,
+              StoreRevision current,
               bool after_outage,
               TimePoint now);
-  void RenewRemovals(Revision current);
+  void RenewRemovals(StoreRevision current);
   // Records that the view is complete up to a revision.
-  void MarkCompleteAt(Revision revision);
-  void ApplyRoutes(const RouteTable& table, Revision revision);
-  void ApplyRoutesChange(const RouteTableDelta& change, Revision revision);
-  void RecordTableTransition(const RouteTable& table, Revision revision);
-  void AddRoutesAfter(Revision after, PublishedItems& out) const;
-  void AddRoutesAndDrains(Revision after, PublishedPart& part) const;
+  void MarkCompleteAt(StoreRevision revision);
+  void ApplyRoutes(const RouteTable& table, StoreRevision revision);
+  void ApplyRoutesChange(const RouteTableDelta& change, StoreRevision revision);
+  void RecordTableTransition(const RouteTable& table, StoreRevision revision);
+  void AddRoutesAfter(StoreRevision after, PublishedItems& out) const;
+  void AddRoutesAndDrains(StoreRevision after, PublishedPart& part) const;
   static void AddRemovalAfter(
-      Revision after,
-      const std::pair<const EndpointId, Revision>& removal,
+      StoreRevision after,
+      const std::pair<const EndpointId, StoreRevision>& removal,
       PublishedPart& part);
-  static void AddEntryAfter(Revision after,
+  static void AddEntryAfter(StoreRevision after,
                             const Entry& entry,
                             TimePoint now,
                             PublishedPart& part);
   void ApplyEndpoint(const PublishedEndpoint& endpoint,
-                     Revision revision,
+                     StoreRevision revision,
                      TimePoint now);
   void ApplyAdjusted(const Error& error);
-  void ApplyUnusable(const UnusableEndpoint& unusable, Revision revision);
+  void ApplyUnusable(const UnusableEndpoint& unusable, StoreRevision revision);
   void SetEndpoint(Entry& entry,
                    const PublishedEndpoint& endpoint,
                    TimePoint now);
   void HoldEarlierStart(Entry& entry,
                         const PublishedEndpoint& endpoint,
                         TimePoint now);
-  void RecordRemoval(const EndpointId& removed, Revision revision);
+  void RecordRemoval(const EndpointId& removed, StoreRevision revision);
   void MarkMissing(const EndpointId& id, bool after_outage, TimePoint now);
 
   std::shared_ptr<const RouteTable> routes_;
-  Revision routes_revision_ = 0;
+  StoreRevision routes_revision_ = 0;
   struct RouteTableTransition {
     // Revisions of the table before and after the change.
-    Revision base = 0;
-    Revision revision = 0;
+    StoreRevision base = 0;
+    StoreRevision revision = 0;
     RouteTableDelta change;
   };
 
@@ -174,19 +174,19 @@
   // Removed endpoints with the revision of their removal, so that an older read
   // does not restore them; and ordered by that revision, to discard the oldest
   // first.
-  std::map<EndpointId, Revision> removed_;
-  std::set<std::pair<Revision, EndpointId>> removal_order_;
+  std::map<EndpointId, StoreRevision> removed_;
+  std::set<std::pair<StoreRevision, EndpointId>> removal_order_;
   // `removed_` contains all removals after this revision.
-  std::optional<Revision> complete_after_;
+  std::optional<StoreRevision> complete_after_;
   DrainedZones drained_zones_;
   std::vector<Error> refused_;
   // The last rejected revision of each endpoint, so that it is reported once.
-  std::map<EndpointId, Revision> refused_endpoints_;
+  std::map<EndpointId, StoreRevision> refused_endpoints_;
   std::optional<Error> unreadable_;
   std::vector<Error> adjusted_;
   // The adjustments that have been reported.
   std::vector<Error> known_adjustments_;
-  Revision revision_ = 0;
+  StoreRevision revision_ = 0;
   bool changed_ = false;
 };
 
--- a/tests/fleet/feed_simulation.h
+++ b/tests/fleet/feed_simulation.h
@@ -75,6 +75,8 @@
     tables_[version] = table_;
     table_revision_ = ++revision_;
   }
+  // Makes the store continue at a later revision.
+  void SkipRevisions(Revision count) { revision_ += count; }
   // A removed endpoint may be published again unchanged.
   void AddEndpoint(const std::string& id) {
     if (endpoints_.contains(id)) {
@@ -327,7 +329,7 @@
       return;
     }
     ++store_calls_;
-    host.watch_after = host.feed->view().revision();
+    host.watch_after = host.feed->view().revision().number;
     host.watch_until = now_ + step.time;
     if (step.kind == FeedStep::Kind::kReadEndpoints) {
       host.watch_until.reset();
--- a/tests/fleet/test_published_feed.cc
+++ b/tests/fleet/test_published_feed.cc
@@ -81,7 +81,7 @@
   for (const bool after_outage : {false, true, false}) {
     out.Take();
     now += milliseconds(100);
-    const Revision known = feed.view().revision();
+    const Revision known = feed.view().revision().number;
     feed.OnMessage(feeder, UpdateTo(known, known + 1, after_outage), now, out);
     feed.SendUpdates(now, out);
     const std::vector<Outbox::Item> sent = out.Take();
--- a/tests/fleet/test_published_view.cc
+++ b/tests/fleet/test_published_view.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <limits>
 #include <string>
 
 #include "fleet/published_messages.h"
@@ -291,10 +292,10 @@
 }
 
 TEST_CASE("a later era orders after every revision of an earlier one") {
-  CHECK(MakeRevision(0, 17) == 17);
-  CHECK(MakeRevision(1, 1) > MakeRevision(0, kMaxStoreRevision));
-  CHECK(EraOf(MakeRevision(3, 9)) == 3);
-  CHECK(StoreRevisionOf(MakeRevision(3, 9)) == 9);
+  CHECK(StoreRevision(0, 17) == 17);
+  CHECK(StoreRevision(1, 1) >
+        StoreRevision(0, std::numeric_limits<Revision>::max()));
+  CHECK(InEra(3, {{}, 9}).current == StoreRevision(3, 9));
 }
 
 // Guards against an endpoint that gets calls again after it has left, because
@@ -327,7 +328,7 @@
   const ZoneDrain drain{ZoneId("a"), true};
   PublishedView view;
   view.ApplyFullRead(Single(9, drain), false, kStart);
-  const Revision known = view.revision();
+  const StoreRevision known = view.revision();
   view.ApplyFullRead(InEra(1, PublishedItems{{}, 5}), false, kStart);
   CHECK(view.drained_zones().InForce().empty());
   PublishedView follower;
--- a/tests/platform/test_kv_client.cc
+++ b/tests/platform/test_kv_client.cc
@@ -264,7 +264,7 @@
   }
   store.Remove("op/evacuate/evora-a");
   const auto events = Require<PublishedItems>(
-      [&] { return client.Watch(all.current, seconds(2)); });
+      [&] { return client.Watch(all.current.number, seconds(2)); });
   REQUIRE(events.items.size() == 1);
   CHECK(events.items[0].value ==
         PublishedValue(ZoneDrain{ZoneId("evora-a"), false}));
@@ -356,10 +356,10 @@
   CHECK(after.era == 1);
   CHECK(after.current == before.current);
   const auto watched = Require<PublishedItems>(
-      [&] { return client.Watch(after.current, milliseconds(10)); });
+      [&] { return client.Watch(after.current.number, milliseconds(10)); });
   CHECK(watched.era == 1);
   const auto error = CaptureError([&]() -> leaf::result<void> {
-    BOOST_LEAF_CHECK(client.Watch(after.current + 1, milliseconds(10)));
+    BOOST_LEAF_CHECK(client.Watch(after.current.number + 1, milliseconds(10)));
     return {};
   });
   REQUIRE(error);
