A message that never ends is cut off when it is too large

An endpoint, a caller or a peer that sends a chunk size, a chunk extension or trailers without end made a host grow until the deadline or the time-out; on the readiness port any line did. A platform with a memory limit ends such a host with all its calls.

Cause: the limits of head and body do not count what lies between chunks, and the buffer that is read into had no limit; cpp-httplib reads lines to their end, and its time-out starts anew with each byte.

Change: a connection holds at most 64 KiB of unread bytes beside a head. The administration and readiness ports take 20 KiB in 2 s per request, through a stream of our own below the library. An endless answer counts as a failure of its endpoint, as one that was cut short did before.

--- a/admin/admin_server.cc
+++ b/admin/admin_server.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "admin/admin_routes.h"
+#include "admin/bounded_server.h"
 #include "admin/bounded_task_queue.h"
 #include "proxy/routing_table.h"
 
@@ -22,6 +23,7 @@
 constexpr std::size_t kThreads = 4;
 constexpr std::size_t kMaxQueued = 16;
 constexpr std::size_t kMaxBodyBytes = 4 << 10;
+constexpr std::size_t kMaxRequestBytes = kMaxBodyBytes + (16 << 10);
 constexpr auto kStartPoll = std::chrono::milliseconds(1);
 constexpr auto kReadTimeout = std::chrono::seconds(2);
 constexpr auto kFirstByteTimeout = std::chrono::seconds(1);
@@ -73,16 +75,10 @@
     return new BoundedTaskQueue(kThreads, kMaxQueued);
   };
   server.set_payload_max_length(kMaxBodyBytes);
-  // One request per connection: an idle keep-alive connection would occupy one
-  // of the few threads, and the platform's readiness check would time out.
-  server.set_keep_alive_max_count(1);
-  server.set_keep_alive_timeout(kFirstByteTimeout.count());
   // A stop request that arrives while a connection is being accepted may not
   // wake the accepting thread, and the process would never end. Therefore that
   // thread checks for a stop at this interval.
   server.set_idle_interval(kAcceptPoll);
-  server.set_read_timeout(kReadTimeout);
-  server.set_write_timeout(kWriteTimeout);
   server.set_tcp_nodelay(true);
 }
 
@@ -99,7 +95,8 @@
 }
 
 struct AdminServer::Backend {
-  httplib::Server server;
+  BoundedServer server{{kMaxRequestBytes, kReadTimeout, kWriteTimeout},
+                       kFirstByteTimeout};
   std::thread thread;
 };
 
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -344,6 +344,7 @@
 asio::awaitable<std::optional<Failure>> CallerSession::ReadRequest(
     Parser& parser) {
   const CallerLimits caller_limits = state_.caller_limits();
+  buf_.max_size(HeadLimit(caller_limits) + kMaxUnreadBytes);
   parser.header_limit(
       static_cast<std::uint32_t>(HeadLimit(caller_limits) + kEndOfHead.size()));
   parser.body_limit(static_cast<std::uint64_t>(caller_limits.body_bytes));
--- a/proxy/endpoint_connection.cc
+++ b/proxy/endpoint_connection.cc
@@ -18,7 +18,7 @@
 }  // namespace
 
 EndpointConnection::EndpointConnection(Tcp::socket socket)
-    : id_(NextId()), socket_(std::move(socket)) {}
+    : id_(NextId()), socket_(std::move(socket)), buf_(kMaxUnreadBytes) {}
 
 bool EndpointConnection::IsReady() {
   char byte = 0;
--- a/proxy/http_types.h
+++ b/proxy/http_types.h
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cstddef>
 #include <string_view>
 
 #include "contract/protocol_names.h"
@@ -18,6 +19,12 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
+// Maximum number of unread bytes that a connection holds beside the head of a
+// message. Bounds what lies between the parts of a body, such as chunk sizes,
+// chunk extensions and trailers: neither the limit on the head nor the one on
+// the body counts them.
+inline constexpr std::size_t kMaxUnreadBytes = 64U << 10U;
+
 // Headers that only callers send; contract/protocol_names.h has the others.
 inline constexpr std::string_view kKeyHeader = "Damasktack-Key";
 inline constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
--- a/tests/admin/test_admin_server.cc
+++ b/tests/admin/test_admin_server.cc
@@ -197,5 +197,32 @@
   CHECK(IsSameSecret("same", "same"));
 }
 
+// Guards against a caller that fills a host's memory through the readiness
+// port with a request that never ends.
+TEST_CASE("a request without end is cut off when it is too large") {
+  namespace asio = boost::asio;
+  constexpr std::size_t kMaxSentBytes = 64 << 20;
+  Fixture fixture;
+  const std::string chunked =
+      "POST /v1/drain HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n";
+  for (const std::string& begin :
+       {std::string("GET /"), std::string("GET /v1/status HTTP/1.1\r\nX: "),
+        chunked, chunked + "5;x=", chunked + "0\r\nX: "}) {
+    CAPTURE(begin);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), fixture.port()});
+    const std::string part(64 << 10, '0');
+    boost::system::error_code ec;
+    asio::write(socket, asio::buffer(begin), ec);
+    for (std::size_t n = 0; !ec && n < kMaxSentBytes; n += part.size()) {
+      asio::write(socket, asio::buffer(part), ec);
+    }
+    CHECK(ec);
+  }
+  CHECK(fixture.Get("/v1/status").is_object());
+}
+
 }  // namespace
 }  // namespace damasktack
