Remove the default bound of CBOR values

Since messages between hosts have a bound of their own, no caller used the default: each names its bound now. ReadRevision has guard clauses in place of two conditional expressions.

--- a/fleet/cbor_bounds.h
+++ b/fleet/cbor_bounds.h
@@ -10,7 +10,6 @@
 namespace damasktack {
 
 inline constexpr std::size_t kMaxCborDepth = 16;
-inline constexpr std::size_t kMaxCborItems = 65'536;
 
 // Checks that `bytes` is exactly one CBOR value with definite lengths, without
 // tags, with at most kMaxCborDepth levels and `max_items` values. `where` names
@@ -22,12 +21,12 @@
 // passes cannot make the library exceed these bounds.
 leaf::result<void> CheckCborBounds(std::string_view bytes,
                                    std::string_view where,
-                                   std::size_t max_items = kMaxCborItems);
+                                   std::size_t max_items);
 
 // Parses one CBOR value within these bounds.
 leaf::result<Json> ParseCbor(std::string_view bytes,
                              std::string_view where,
-                             std::size_t max_items = kMaxCborItems);
+                             std::size_t max_items);
 
 }  // namespace damasktack
 
--- a/fleet/store_revision.cc
+++ b/fleet/store_revision.cc
@@ -39,15 +39,16 @@
 void ReadRevision(JsonReader& reader,
                   std::string_view key,
                   StoreRevision& out) {
+  constexpr const char* kRemedy =
+      "update the sending host; this one reads the store itself meanwhile";
   const Json* json = reader.OptionalValue(key);
-  const std::optional<StoreRevision> parsed =
-      json == nullptr ? std::nullopt : ParseRevision(*json);
+  if (json == nullptr) {
+    reader.Refuse(ErrorKind::kMissingKey, key, "nothing", kRemedy);
+    return;
+  }
+  const std::optional<StoreRevision> parsed = ParseRevision(*json);
   if (!parsed) {
-    reader.Refuse(
-        json == nullptr ? ErrorKind::kMissingKey : ErrorKind::kOutOfRange, key,
-        json == nullptr ? "nothing" : json->dump(),
-        "update the sending host; this one reads the store itself "
-        "meanwhile");
+    reader.Refuse(ErrorKind::kOutOfRange, key, json->dump(), kRemedy);
     return;
   }
   out = *parsed;
