Test what the caller of a cut or endless answer gets

The tests of such answers stopped at the exchange with the endpoint. A command gets 502 in each of six forms, no success and no promise. Green from the start, so no fault is fixed by it. The limit on a head is worked out once for a request.

--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -344,9 +344,10 @@
 asio::awaitable<std::optional<Failure>> CallerSession::ReadRequest(
     Parser& parser) {
   const CallerLimits caller_limits = state_.caller_limits();
-  buf_.max_size(HeadLimit(caller_limits) + kMaxUnreadBytes);
+  const std::size_t head_limit = HeadLimit(caller_limits);
+  buf_.max_size(head_limit + kMaxUnreadBytes);
   parser.header_limit(
-      static_cast<std::uint32_t>(HeadLimit(caller_limits) + kEndOfHead.size()));
+      static_cast<std::uint32_t>(head_limit + kEndOfHead.size()));
   parser.body_limit(static_cast<std::uint64_t>(caller_limits.body_bytes));
   parser.eager(true);
   ArmTimer(std::min(
--- a/tests/proxy/test_published_routes.cc
+++ b/tests/proxy/test_published_routes.cc
@@ -119,6 +119,26 @@
   CHECK(StatusOf(proxy.Ask(Request("GET", "/read/x", "c-1"))) == 200);
 }
 
+// Guards against a caller that gets a success, or a promise that its command
+// has not run, for an answer that is cut off in its head or never ends.
+TEST_CASE("the caller of a command whose answer is no answer gets 502") {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string long_part(1 << 20, '0');
+  for (const std::string& it :
+       {std::string(), head.substr(0, 11), head, head + "Content-Length: 0\r\n",
+        chunked + long_part, chunked + "0\r\nX-A: " + long_part}) {
+    CAPTURE(it.substr(0, chunked.size()));
+    const RawEndpoint endpoint([&](RawConnection& connection) {
+      connection.ReadMessage();
+      connection.Send(it);
+      connection.Close();
+    });
+    const RouteFixture proxy({endpoint.port()});
+    CHECK(StatusOf(proxy.Ask(Request("POST", "/write/x", "c-1"))) == 502);
+  }
+}
+
 // A caller reaches a host that has just started and has no routes yet. An
 // immediate refusal would use up the caller's retry although the host gets the
 // routes a moment later, so the call must wait for them.
