A host holds no more of messages than its memory allows

Seen by users: clients that sent many large bodies of legal size at once, most stopping just short of their end, ended a process: it ran out of memory.

Cause: only single parts were bounded (a head, a body, the unread input of one connection), never their sum. A body without a length also grew by copies, and the allocator kept what had been freed.

Larger messages leave room to smaller ones, requests to answers. - MemoryAccount owns the bytes of one message and gives them back on every path; it travels with the request (HoldRequest) and with the answer until that is written. MeteredBuffer owns the unread input of a connection. - ReadBody replaces Beast's read on both sides: a stated body takes its room before it is read, any other part by part, and none is held twice. - No room: the request is refused at once (503 memory-short, not-run, Retry-After), unless a caller that has paused in the middle of a large request can be ended (408). Another peer may take a relayed call. An answer with a length waits in the kernel; one in chunks is given up (502). - Large blocks go back to the system when freed, free memory after a burst. - Counters, a bounded log line, and three columns of damasktackctl status.

--- a/admin/admin_json.cc
+++ b/admin/admin_json.cc
@@ -127,7 +127,10 @@
             {"drained", host.drained},
             {"stopping", host.stopping},
             {"uptime_us", Microseconds(host.uptime)},
-            {"calls_in_flight", host.calls_in_flight}};
+            {"calls_in_flight", host.calls_in_flight},
+            {"message_bytes", host.message_bytes},
+            {"message_bytes_peak", host.message_bytes_peak},
+            {"message_bytes_limit", host.message_bytes_limit}};
   for (const DocumentReport& it : documents) {
     json[std::string(ToString(it.name)) + "_revision"] = it.in_force;
   }
--- a/admin/admin_report.h
+++ b/admin/admin_report.h
@@ -30,6 +30,11 @@
   bool stopping = false;
   Duration uptime{};
   std::int64_t calls_in_flight = 0;
+  // What messages hold, now and at most so far, and how much they may, in
+  // bytes.
+  std::int64_t message_bytes = 0;
+  std::int64_t message_bytes_peak = 0;
+  std::int64_t message_bytes_limit = 0;
 };
 
 // A published document that failed validation.
--- a/main/daemon_admin.cc
+++ b/main/daemon_admin.cc
@@ -52,6 +52,10 @@
   report.stopping = stopping_;
   report.uptime = Clock::now() - started_at_;
   report.calls_in_flight = state_.calls_in_flight();
+  const MemoryBudget& memory = state_.memory();
+  report.message_bytes = static_cast<std::int64_t>(memory.used());
+  report.message_bytes_peak = static_cast<std::int64_t>(memory.peak());
+  report.message_bytes_limit = static_cast<std::int64_t>(memory.limit());
   return report;
 }
 
--- a/main/damasktack_main.cc
+++ b/main/damasktack_main.cc
@@ -12,6 +12,7 @@
 #include <string>
 #include <thread>
 
+#include "core/heap.h"
 #include "core/host_state.h"
 #include "main/daemon.h"
 #include "main/daemon_options.h"
@@ -147,6 +148,7 @@
 
 int main(int argc, char** argv) {
   const sigset_t signals = BlockStopSignals();
+  damasktack::ReturnLargeBlocksWhenFreed();
   const po::options_description options = damasktack::DaemonOptions();
   po::variables_map arguments;
   try {
--- a/main/inspect_command.cc
+++ b/main/inspect_command.cc
@@ -101,6 +101,9 @@
                  {"STOPPING", "/stopping"},
                  {"UPTIME", "/uptime_us"},
                  {"IN FLIGHT", "/calls_in_flight"},
+                 {"BYTES HELD", "/message_bytes"},
+                 {"MOST HELD", "/message_bytes_peak"},
+                 {"BYTES ALLOWED", "/message_bytes_limit"},
                  {"CONTRACTS", "/contracts_revision"},
                  {"SERVICES", "/services_revision"},
                  {"HOSTS", "/hosts_revision"}}}});
--- a/main/settings_sections.h
+++ b/main/settings_sections.h
@@ -33,6 +33,10 @@
                 "threads for callers' and endpoints' connections");
   visitor.Count("connections", options.connections, 1, 100'000, "connections",
                 "maximum number of open connections of callers");
+  visitor.Count("memory_mb", options.memory_mb, 32, 1'000'000, "megabytes",
+                "memory that the process may use; messages of callers, peers "
+                "and endpoints may take 60 percent of it, and a request for "
+                "which there is no room is refused with 503");
   visitor.Count("request_header_bytes", options.request_header_bytes, 1024,
                 1 << 20, "bytes", "maximum size of a request's header");
   visitor.Count("request_body_bytes", options.request_body_bytes, 0, 64 << 20,
--- a/proxy/call_handler.cc
+++ b/proxy/call_handler.cc
@@ -11,6 +11,7 @@
 #include "proxy/call_parameters.h"
 #include "proxy/claim_answers.h"
 #include "proxy/header_rewrite.h"
+#include "proxy/held_request.h"
 #include "proxy/request_check.h"
 #include "proxy/request_digest.h"
 #include "wire/link_auth.h"
@@ -392,9 +393,10 @@
   return response;
 }
 
-asio::awaitable<HttpResponse> CallHandler::Handle(HttpRequest received) {
+asio::awaitable<HttpResponse> CallHandler::Handle(HttpRequest received,
+                                                  MemoryAccount memory) {
   // A losing send may need the request for longer than the call.
-  request_ = std::make_shared<HttpRequest>(std::move(received));
+  request_ = HoldRequest(std::move(received), std::move(memory));
   HttpRequest& request = *request_;
   const InFlightGuard in_flight(state_.calls_in_flight());
   offer_.token = state_.NextToken();
@@ -414,6 +416,7 @@
   Log(request, result, now);
   state_.metrics().Record({offer_.customer, offer_.urgency},
                           {result.outcome, total, total - at_endpoints});
+  answer_memory_ = std::move(result.memory);
   co_return Render(request, std::move(result));
 }
 
--- a/proxy/call_handler.h
+++ b/proxy/call_handler.h
@@ -3,7 +3,9 @@
 
 #include <memory>
 #include <string_view>
+#include <utility>
 
+#include "core/memory_account.h"
 #include "proxy/call_log.h"
 #include "proxy/call_origin.h"
 #include "proxy/call_result.h"
@@ -27,7 +29,11 @@
               CallOrigin origin,
               std::shared_ptr<LosingSends> losing_sends = nullptr);
 
-  asio::awaitable<HttpResponse> Handle(HttpRequest request);
+  // `memory` is what the request holds.
+  asio::awaitable<HttpResponse> Handle(HttpRequest request,
+                                       MemoryAccount memory = {});
+  // Returns what the answer holds; to be called once Handle has returned.
+  MemoryAccount TakeAnswerMemory() { return std::move(answer_memory_); }
 
   // Called when the caller has disconnected: stops waiting for an endpoint, or
   // cancels the send in progress. Must be called on the handler's thread.
@@ -77,6 +83,7 @@
   const ServiceSpec* service_ = nullptr;
   std::shared_ptr<ServiceDispatcher> dispatcher_;
   std::shared_ptr<HttpRequest> request_;
+  MemoryAccount answer_memory_;
   const std::shared_ptr<LosingSends> losing_sends_;
   bool may_be_hedged_ = false;
   CallOffer offer_;
--- a/proxy/call_log.cc
+++ b/proxy/call_log.cc
@@ -135,6 +135,15 @@
   }
 }
 
+void CallLog::WriteMemoryShort(std::size_t held,
+                               std::size_t limit,
+                               TimePoint now) {
+  if (const std::optional<std::uint64_t> left_out = TakeLine(now)) {
+    spdlog::warn("event=memory-short held={} limit={} left_out={}", held, limit,
+                 *left_out);
+  }
+}
+
 void CallLog::WriteInternalError(std::string_view what, TimePoint now) {
   if (const std::optional<std::uint64_t> left_out = TakeLine(now)) {
     spdlog::error("event=call-internal-error what=\"{}\" left_out={}", what,
--- a/proxy/call_log.h
+++ b/proxy/call_log.h
@@ -122,6 +122,9 @@
                        TimePoint now);
   void WriteCut(const CutCallRecord& record, TimePoint now);
   void WriteStrayAnswer(const StrayAnswerRecord& record, TimePoint now);
+  // Logs that a request was refused since there is no memory for it. `held` and
+  // `limit` are those of the budget in bytes.
+  void WriteMemoryShort(std::size_t held, std::size_t limit, TimePoint now);
   // Logs that a call ended with an exception.
   void WriteInternalError(std::string_view what, TimePoint now);
   std::uint64_t dropped() const;
--- a/proxy/call_relay.cc
+++ b/proxy/call_relay.cc
@@ -109,6 +109,7 @@
     if (stated) {
       result.outcome = *stated;
       result.answer = std::move(sent.answer);
+      result.memory = std::move(sent.memory);
     }
     break;
   }
--- a/proxy/call_relay.h
+++ b/proxy/call_relay.h
@@ -41,6 +41,8 @@
     Outcome outcome = Outcome::kNotRun;
     // The endpoint's answer, or the peer's failure for the caller.
     std::optional<HttpResponse> answer;
+    // What the answer holds.
+    MemoryAccount memory = {};
     // How the exchange with the last peer ended; only of use without an answer.
     SendResult last = SendResult::kNotConnected;
     // Time spent on peers.
--- a/proxy/call_result.h
+++ b/proxy/call_result.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "core/memory_account.h"
 #include "policy/call.h"
 #include "proxy/failure.h"
 #include "proxy/http_types.h"
@@ -16,12 +17,14 @@
   std::optional<HttpResponse> answer;
   // Only used without an answer.
   Failure failure;
+  // What the answer holds.
+  MemoryAccount memory = {};
 
   static CallResult NotRun(Failure failure) {
-    return {Outcome::kNotRun, std::nullopt, std::move(failure)};
+    return {Outcome::kNotRun, std::nullopt, std::move(failure), {}};
   }
   static CallResult Complete(HttpResponse answer) {
-    return {Outcome::kComplete, std::move(answer), {}};
+    return {Outcome::kComplete, std::move(answer), {}, {}};
   }
 };
 
--- a/proxy/call_sends.cc
+++ b/proxy/call_sends.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "proxy/header_rewrite.h"
+#include "proxy/held_request.h"
 
 namespace damasktack {
 
@@ -219,6 +220,10 @@
       quarantine_check_.IsSuspected()) {
     return std::nullopt;
   }
+  MemoryAccount memory(&state_.memory(), MemoryBudget::Source::kRequest);
+  if (!memory.Resize(first_->request->body().size())) {
+    return std::nullopt;
+  }
   const TimePoint now = Clock::now();
   HedgeRequest request{.offer = call_.offer,
                        .first_token = first_->offer.token,
@@ -233,8 +238,9 @@
                ? std::optional(now + *decision.ask_again_after)
                : std::nullopt;
   }
-  hedge_ = MakeSend(std::make_shared<HttpRequest>(*first_->request),
-                    *decision.placement, request.offer);
+  hedge_ =
+      MakeSend(HoldRequest(HttpRequest(*first_->request), std::move(memory)),
+               *decision.placement, request.offer);
   state_.call_log().WriteHedge({.call = call_.id,
                                 .first = first_->placement.target.id,
                                 .second = hedge_->placement.target.id,
@@ -356,7 +362,10 @@
         is_unsure || is_refusal ? FailureKind::kBroken : KindOf(relayed.last);
     co_return CallResult{Outcome::kUnknown, std::nullopt, MakeFailure(kind)};
   }
-  co_return CallResult{relayed.outcome, std::move(relayed.answer), {}};
+  co_return CallResult{relayed.outcome,
+                       std::move(relayed.answer),
+                       {},
+                       std::move(relayed.memory)};
 }
 
 asio::awaitable<CallResult> CallSends::Run(
@@ -438,8 +447,10 @@
     outcome.OnGivenUp();
     for (const SendPtr& it : {last, other}) {
       if (it && it->HasAnswerForCaller()) {
-        co_return CallResult{
-            outcome.outcome(), std::move(it->result->answer), {}};
+        co_return CallResult{outcome.outcome(),
+                             std::move(it->result->answer),
+                             {},
+                             std::move(it->result->memory)};
       }
     }
     CallResult result = give_up(FailureKindOf(*last->result));
--- a/proxy/caller_server.cc
+++ b/proxy/caller_server.cc
@@ -16,6 +16,7 @@
 // Further connections over the limit are closed without an answer.
 constexpr std::int64_t kMaxConcurrentRefusals = 64;
 constexpr Duration kExpireInterval = std::chrono::seconds(1);
+constexpr Duration kTrimInterval = std::chrono::seconds(1);
 // Tick interval while no call is waiting.
 constexpr Duration kQuietTick = std::chrono::milliseconds(10);
 // Tick interval while no call is waiting and no service probes its endpoints
@@ -55,7 +56,8 @@
 leaf::result<void> CallerServer::Start() {
   const ProxyOptions& options = state_.options();
   for (std::int64_t n = 0; n < options.threads; ++n) {
-    loops_.push_back(std::make_unique<ProxyLoop>(options.endpoint_idle));
+    loops_.push_back(
+        std::make_unique<ProxyLoop>(options.endpoint_idle, state_.memory()));
   }
   asio::io_context& first = loops_.front()->context();
   BOOST_LEAF_ASSIGN(acceptor_, Listen(first, options.listen, "proxy.listen"));
@@ -72,6 +74,7 @@
   asio::co_spawn(first, Accept(*acceptor_, CallOrigin::kCaller),
                  asio::detached);
   asio::co_spawn(first, TickLoop(), asio::detached);
+  asio::co_spawn(first, TrimHeapLoop(), asio::detached);
   for (const auto& it : loops_) {
     asio::co_spawn(it->context(), ExpireLoop(*it), asio::detached);
     it->Start();
@@ -132,6 +135,22 @@
   }
 }
 
+// Many small messages leave free memory between other blocks, which the
+// allocator keeps.
+asio::awaitable<void> CallerServer::TrimHeapLoop() {
+  asio::steady_timer timer(loops_.front()->context());
+  MemoryBudget& memory = state_.memory();
+  while (true) {
+    boost::system::error_code ec;
+    timer.expires_after(kTrimInterval);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    const std::size_t peak = memory.TakeRecentPeak();
+    if (heap_trims_.ShouldTrim(memory.used(), peak)) {
+      ReturnFreeMemory();
+    }
+  }
+}
+
 asio::awaitable<void> CallerServer::TickLoop() {
   while (true) {
     boost::system::error_code ec;
--- a/proxy/caller_server.h
+++ b/proxy/caller_server.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/error.h"
+#include "core/heap.h"
 #include "proxy/call_origin.h"
 #include "proxy/proxy_loop.h"
 #include "proxy/proxy_state.h"
@@ -53,6 +54,7 @@
   // switches to the short tick interval.
   void OnWaiting();
   asio::awaitable<void> ExpireLoop(ProxyLoop& loop);
+  asio::awaitable<void> TrimHeapLoop();
   asio::awaitable<void> Probe(std::shared_ptr<ServiceDispatcher> dispatcher,
                               ProbeRequest probe);
   // Ticks all services. Returns true if any call is waiting.
@@ -69,6 +71,7 @@
   // Runs on the first loop.
   std::unique_ptr<asio::steady_timer> tick_timer_;
   bool is_quiet_ = false;
+  HeapTrimSchedule heap_trims_;
   std::uint16_t port_ = 0;
   std::uint16_t relay_port_ = 0;
   std::size_t next_loop_ = 0;
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -7,6 +7,7 @@
 #include <exception>
 #include <utility>
 
+#include "proxy/message_reader.h"
 #include "proxy/request_check.h"
 
 namespace damasktack {
@@ -16,8 +17,10 @@
 constexpr std::size_t kReadChunk = 4096;
 // Limit on the head of a request, whatever limit is published.
 constexpr std::int64_t kMaxHeadBytes = 16 << 20;
-// An idle connection releases a buffer that grew beyond this size.
-constexpr std::size_t kMaxIdleBufferBytes = 16U << 10U;
+// A request that pauses for longer may be cut off when memory is short.
+constexpr Duration kStallTime = std::chrono::milliseconds(500);
+// A request that holds less is not worth cutting off.
+constexpr std::size_t kMinCutBytes = 64U << 10U;
 // Longer than peers keep idle connections, so that they close them first.
 constexpr Duration kPeerIdleTimeout = std::chrono::minutes(15);
 constexpr Duration kMaxLinger = std::chrono::seconds(1);
@@ -37,10 +40,6 @@
   return poll(&state, 1, 0) > 0;
 }
 
-std::string_view TextOf(const beast::flat_buffer& buf) {
-  return {static_cast<const char*>(buf.data().data()), buf.size()};
-}
-
 std::size_t HeadLimit(const CallerLimits& limits) {
   return static_cast<std::size_t>(std::min(limits.header_bytes, kMaxHeadBytes));
 }
@@ -87,6 +86,24 @@
 
 }  // namespace
 
+// Makes room for a request at the expense of callers that have stopped sending.
+class CallerSession::RequestRoom {
+ public:
+  explicit RequestRoom(CallerSession& session) : session_(session) {}
+
+  asio::awaitable<bool> Take(MemoryAccount& memory, std::size_t bytes) {
+    bool is_taken = !session_.HasReadEnded() && memory.Resize(bytes);
+    while (!is_taken && !session_.HasReadEnded() && memory.MayEverFit(bytes) &&
+           session_.CutOtherRead()) {
+      is_taken = memory.Resize(bytes);
+    }
+    co_return is_taken;
+  }
+
+ private:
+  CallerSession& session_;
+};
+
 CallerSession::CallerSession(Tcp::socket socket,
                              ProxyState& state,
                              ProxyLoop& loop,
@@ -97,7 +114,9 @@
       origin_(origin),
       timer_(socket_.get_executor()),
       write_timer_(socket_.get_executor()),
-      changed_(socket_.get_executor()) {}
+      changed_(socket_.get_executor()),
+      buf_(kMaxUnreadBytes,
+           MemoryAccount(&state.memory(), MemoryBudget::Source::kRequest)) {}
 
 void CallerSession::ArmTimer(Duration timeout) {
   timed_out_ = false;
@@ -224,9 +243,7 @@
   if (buf_.size() > 0) {
     co_return true;
   }
-  if (buf_.capacity() > kMaxIdleBufferBytes) {
-    buf_.shrink_to_fit();
-  }
+  buf_.Shrink();
   boost::system::error_code ec;
   awaits_request_ = true;
   if (pending_.empty()) {
@@ -256,7 +273,7 @@
   const std::size_t max_bytes = HeadLimit(state_.caller_limits());
   std::size_t end = std::string_view::npos;
   while (end == std::string_view::npos) {
-    const std::string_view text = TextOf(buf_);
+    const std::string_view text = buf_.text();
     end = text.find(kEndOfHead);
     if (std::min(end, text.size()) > max_bytes) {
       co_return MakeFailure(FailureKind::kHeadTooLarge);
@@ -268,18 +285,17 @@
     if (partial) {
       co_return partial;
     }
-    boost::system::error_code ec;
-    const std::size_t n = co_await socket_.async_read_some(
-        buf_.prepare(kReadChunk),
-        asio::redirect_error(asio::use_awaitable, ec));
-    buf_.commit(n);
-    if (ec) {
+    const ReadEnd more = co_await ReadMore(socket_, buf_, kReadChunk);
+    if (more.ec == boost::system::errc::not_enough_memory) {
+      co_return MakeFailure(FailureKind::kMemoryShort);
+    }
+    if (more.ec) {
       lost_ = lost_ || (!timed_out_ && !is_closing_);
       co_return MakeFailure(FailureKind::kRequestTimeout);
     }
   }
   const std::size_t size = end + kEndOfHead.size();
-  std::optional<Failure> fault = CheckRequestHead(TextOf(buf_).substr(0, size));
+  std::optional<Failure> fault = CheckRequestHead(buf_.text().substr(0, size));
   if (fault) {
     co_return fault;
   }
@@ -291,37 +307,59 @@
   if (ec || !parser.is_header_done()) {
     co_return MakeFailure(FailureKind::kBadRequest, ec.message());
   }
-  buf_.consume(size);
+  buf_.Consume(size);
+  co_return reading_.Resize(kMemoryPerHeadByte * size)
+      ? std::nullopt
+      : std::optional(MakeFailure(FailureKind::kMemoryShort));
+}
+
+asio::awaitable<std::optional<Failure>> CallerSession::InviteBody(
+    const Parser& parser) {
+  const bool waits = parser.get().count(http::field::expect) > 0 &&
+                     parser.get().version() == 11 && buf_.size() == 0;
+  if (!waits) {
+    co_return std::nullopt;
+  }
+  co_await AwaitPendingBelow(1);
+  if (lost_ || is_closing_ || HasReadEnded()) {
+    co_return MakeFailure(FailureKind::kRequestTimeout);
+  }
+  boost::system::error_code ec;
+  co_await asio::async_write(socket_, asio::buffer(kContinue),
+                             asio::redirect_error(asio::use_awaitable, ec));
   co_return std::nullopt;
 }
 
-asio::awaitable<std::optional<Failure>> CallerSession::ReadBody(
+asio::awaitable<std::optional<Failure>> CallerSession::ReadWholeBody(
     Parser& parser) {
-  boost::system::error_code ec;
+  const auto max_bytes =
+      static_cast<std::size_t>(state_.caller_limits().body_bytes);
   const auto length = parser.content_length();
-  if (length &&
-      *length > static_cast<std::uint64_t>(state_.caller_limits().body_bytes)) {
+  if (length && *length > max_bytes) {
     co_return MakeFailure(FailureKind::kBodyTooLarge);
   }
   if (parser.is_done()) {
     co_return std::nullopt;
   }
-  const bool waits = parser.get().count(http::field::expect) > 0 &&
-                     parser.get().version() == 11 && buf_.size() == 0;
-  if (waits) {
-    co_await AwaitPendingBelow(1);
-    if (lost_ || is_closing_) {
-      co_return MakeFailure(FailureKind::kRequestTimeout);
-    }
-    co_await asio::async_write(socket_, asio::buffer(kContinue),
-                               asio::redirect_error(asio::use_awaitable, ec));
+  RequestRoom room(*this);
+  const bool is_taken = co_await TakeStatedBody(parser, reading_, room);
+  if (!is_taken) {
+    co_return MakeFailure(FailureKind::kMemoryShort);
+  }
+  std::optional<Failure> failure = co_await InviteBody(parser);
+  if (failure) {
+    co_return failure;
   }
   const std::ptrdiff_t fields = CountFields(parser.get());
-  co_await http::async_read(socket_, buf_, parser,
-                            asio::redirect_error(asio::use_awaitable, ec));
-  if (timed_out_) {
+  const ReadEnd end =
+      co_await ReadBody(socket_, buf_, parser, max_bytes, reading_, room);
+  const boost::system::error_code ec = end.ec;
+  if (HasReadEnded()) {
     co_return MakeFailure(FailureKind::kRequestTimeout);
   }
+  if (ec == boost::system::errc::not_enough_memory) {
+    co_return MakeFailure(FailureKind::kMemoryShort);
+  }
   if (ec == http::error::body_limit) {
     co_return MakeFailure(FailureKind::kBodyTooLarge);
   }
@@ -345,7 +383,7 @@
     Parser& parser) {
   const CallerLimits caller_limits = state_.caller_limits();
   const std::size_t head_limit = HeadLimit(caller_limits);
-  buf_.max_size(head_limit + kMaxUnreadBytes);
+  buf_.SetMaxBytes(head_limit + kMaxUnreadBytes);
   parser.header_limit(
       static_cast<std::uint32_t>(head_limit + kEndOfHead.size()));
   parser.body_limit(static_cast<std::uint64_t>(caller_limits.body_bytes));
@@ -355,7 +393,7 @@
       state_.stop_schedule().ReadTimeout(DescribeForStop(), Clock::now())));
   std::optional<Failure> failure = co_await ReadHead(parser);
   if (!failure) {
-    failure = co_await ReadBody(parser);
+    failure = co_await ReadWholeBody(parser);
   }
   DisarmTimer();
   co_return failure;
@@ -368,7 +406,9 @@
   }
   Parser parser;
   is_reading_ = true;
+  reading_ = MemoryAccount(&state_.memory(), MemoryBudget::Source::kRequest);
   std::optional<Failure> failure = co_await ReadRequest(parser);
+  MemoryAccount memory = std::move(reading_);
   if (lost_ || is_closing_) {
     co_return false;
   }
@@ -377,7 +417,36 @@
     co_return false;
   }
   has_read_ = true;
-  co_return co_await Begin(parser.release());
+  co_return co_await Begin(parser.release(), std::move(memory));
+}
+
+bool CallerSession::IsReadStalled(TimePoint now) const {
+  return is_reading_ && !has_read_ && !is_writing_ && !HasReadEnded() &&
+         reading_.bytes() >= kMinCutBytes && now - last_input() >= kStallTime;
+}
+
+bool CallerSession::CutOtherRead() {
+  const TimePoint now = Clock::now();
+  CallerSession* longest = nullptr;
+  for (CallerSession* it : loop_.sessions()) {
+    const bool is_longer =
+        longest == nullptr || it->last_input() < longest->last_input();
+    if (it != this && is_longer && it->IsReadStalled(now)) {
+      longest = it;
+    }
+  }
+  if (longest == nullptr) {
+    return false;
+  }
+  longest->CutRead();
+  return true;
+}
+
+void CallerSession::CutRead() {
+  boost::system::error_code ec;
+  is_cut_ = true;
+  reading_.Release();
+  socket_.cancel(ec);
 }
 
 asio::awaitable<void> CallerSession::AwaitPendingBelow(std::size_t count) {
@@ -392,7 +461,8 @@
   }
 }
 
-asio::awaitable<bool> CallerSession::Begin(HttpRequest request) {
+asio::awaitable<bool> CallerSession::Begin(HttpRequest request,
+                                           MemoryAccount memory) {
   const auto entry = std::make_shared<PendingRequest>();
   entry->wants_more = request.keep_alive();
   entry->head_only = request.method() == http::verb::head;
@@ -408,16 +478,20 @@
   is_reading_ = false;
   has_read_ = false;
   pending_.push_back(entry);
-  asio::co_spawn(socket_.get_executor(), Answer(entry, std::move(request)),
+  asio::co_spawn(socket_.get_executor(),
+                 Answer(entry, std::move(request), std::move(memory)),
                  asio::detached);
   co_return entry->wants_more;
 }
 
 asio::awaitable<void> CallerSession::Answer(PendingRequestPtr entry,
-                                            HttpRequest request) {
+                                            HttpRequest request,
+                                            MemoryAccount memory) {
   const auto self = shared_from_this();
   try {
-    entry->response = co_await entry->handler->Handle(std::move(request));
+    entry->response =
+        co_await entry->handler->Handle(std::move(request), std::move(memory));
+    entry->memory = entry->handler->TakeAnswerMemory();
   } catch (const std::exception& error) {
     // Without an answer, the entry would stay pending and the connection open
     // forever. The call may have been sent before the exception.
@@ -508,6 +582,16 @@
   const auto entry = std::make_shared<PendingRequest>();
   entry->response =
       RenderFailure(failure, Outcome::kNotRun, {}, state_.options().names);
+  if (failure.kind == FailureKind::kMemoryShort) {
+    const MemoryBudget& memory = state_.memory();
+    state_.call_log().WriteMemoryShort(memory.used(), memory.limit(),
+                                       Clock::now());
+    if (origin_ == CallOrigin::kPeer) {
+      // Another peer may take the call.
+      entry->response->set(kRelayRefusedHeader,
+                           ToBeast(ToString(failure.kind)));
+    }
+  }
   pending_.push_back(entry);
   asio::co_spawn(
       socket_.get_executor(),
--- a/proxy/caller_session.h
+++ b/proxy/caller_session.h
@@ -7,8 +7,10 @@
 #include <memory>
 #include <optional>
 
+#include "core/memory_account.h"
 #include "proxy/call_handler.h"
 #include "proxy/failure.h"
+#include "proxy/metered_buffer.h"
 #include "proxy/stop_schedule.h"
 
 namespace damasktack {
@@ -48,8 +50,11 @@
     // Whether the method is safe; safe requests may run concurrently.
     bool is_safe = false;
     std::optional<HttpResponse> response;
+    // What the response holds.
+    MemoryAccount memory;
   };
   using PendingRequestPtr = std::shared_ptr<PendingRequest>;
+  class RequestRoom;
 
   // The following functions return false, or a failure, if the connection must
   // be closed.
@@ -60,9 +65,24 @@
   asio::awaitable<void> AwaitTimeToRead();
   asio::awaitable<std::optional<Failure>> ReadRequest(Parser& parser);
   asio::awaitable<std::optional<Failure>> ReadHead(Parser& parser);
-  asio::awaitable<std::optional<Failure>> ReadBody(Parser& parser);
-  asio::awaitable<bool> Begin(HttpRequest request);
-  asio::awaitable<void> Answer(PendingRequestPtr entry, HttpRequest request);
+  asio::awaitable<std::optional<Failure>> ReadWholeBody(Parser& parser);
+  // Sends "100 Continue" if the caller waits for it.
+  asio::awaitable<std::optional<Failure>> InviteBody(const Parser& parser);
+  // Makes room by ending reads of other callers that have stalled. Returns
+  // false if there is none.
+  bool CutOtherRead();
+  // Whether the caller has paused while it sends a request that holds much
+  // memory.
+  bool IsReadStalled(TimePoint now) const;
+  // Whether the time to read a request is over.
+  bool HasReadEnded() const { return timed_out_ || is_cut_; }
+  // Ends the reading of a request as a timeout does.
+  void CutRead();
+  TimePoint last_input() const { return buf_.last_input(); }
+  asio::awaitable<bool> Begin(HttpRequest request, MemoryAccount memory);
+  asio::awaitable<void> Answer(PendingRequestPtr entry,
+                               HttpRequest request,
+                               MemoryAccount memory);
   void Refuse(Failure failure);
   // Waits until fewer than `count` requests are pending or the connection is
   // lost.
@@ -104,7 +124,9 @@
   asio::steady_timer changed_;
   // In the order in which the requests arrived.
   std::deque<PendingRequestPtr> pending_;
-  beast::flat_buffer buf_;
+  MeteredBuffer buf_;
+  // What the request that is being read holds.
+  MemoryAccount reading_;
   bool awaits_request_ = false;
   // A request has begun to arrive but is not in `pending_` yet.
   bool is_reading_ = false;
@@ -114,6 +136,8 @@
   Duration longest_call_{};
   bool is_idle_ = false;
   bool timed_out_ = false;
+  // Another session needed the memory of the request that was being read.
+  bool is_cut_ = false;
   bool is_writing_ = false;
   // An answer has announced that the connection is closed after it.
   bool is_closing_ = false;
--- a/proxy/endpoint_connection.cc
+++ b/proxy/endpoint_connection.cc
@@ -17,8 +17,11 @@
 
 }  // namespace
 
-EndpointConnection::EndpointConnection(Tcp::socket socket)
-    : id_(NextId()), socket_(std::move(socket)), buf_(kMaxUnreadBytes) {}
+EndpointConnection::EndpointConnection(Tcp::socket socket, MemoryBudget* memory)
+    : id_(NextId()),
+      socket_(std::move(socket)),
+      buf_(kMaxUnreadBytes,
+           MemoryAccount(memory, MemoryBudget::Source::kAnswer)) {}
 
 bool EndpointConnection::IsReady() {
   char byte = 0;
--- a/proxy/endpoint_connection.h
+++ b/proxy/endpoint_connection.h
@@ -3,8 +3,10 @@
 
 #include <cstdint>
 
+#include "core/memory_budget.h"
 #include "proxy/answer_matcher.h"
 #include "proxy/http_types.h"
+#include "proxy/metered_buffer.h"
 
 namespace damasktack {
 
@@ -16,11 +18,14 @@
 // answers on it.
 class EndpointConnection {
  public:
-  explicit EndpointConnection(Tcp::socket socket);
+  // Unread input is taken from `memory`; null means no limit but that of the
+  // connection.
+  explicit EndpointConnection(Tcp::socket socket,
+                              MemoryBudget* memory = nullptr);
 
   ConnectionId id() const { return id_; }
   Tcp::socket& socket() { return socket_; }
-  beast::flat_buffer& buffer() { return buf_; }
+  MeteredBuffer& buffer() { return buf_; }
   AnswerMatcher& answers() { return answers_; }
   const AnswerMatcher& answers() const { return answers_; }
 
@@ -33,7 +38,7 @@
  private:
   ConnectionId id_;
   Tcp::socket socket_;
-  beast::flat_buffer buf_;
+  MeteredBuffer buf_;
   AnswerMatcher answers_;
 };
 
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -5,6 +5,8 @@
 
 #include "proxy/endpoint_report_codec.h"
 #include "proxy/endpoint_signals_codec.h"
+#include "proxy/message_reader.h"
+#include "proxy/request_check.h"
 #include "proxy/unknown_headers.h"
 
 namespace damasktack {
@@ -31,6 +33,11 @@
 // never blocks on the endpoint.
 constexpr std::size_t kMaxSingleWriteBytes = 16U << 10U;
 
+// An answer that holds more than this does not wait for memory: answers that
+// wait for each other would not end before their deadlines.
+constexpr std::size_t kMaxWaitingBytes = 64U << 10U;
+constexpr Duration kMemoryPollInterval = std::chrono::milliseconds(10);
+
 // Whether the end of the answer can be distinguished from a broken connection.
 // An answer that ends when the connection is closed, or whose length headers
 // are ambiguous, cannot be passed on as complete.
@@ -50,6 +57,32 @@
 
 }  // namespace
 
+// Waits for room while little of the answer has been read. The connection is
+// not read meanwhile, so the endpoint has to wait too.
+class EndpointExchange::AnswerRoom {
+ public:
+  explicit AnswerRoom(EndpointExchange& exchange) : exchange_(exchange) {}
+
+  asio::awaitable<bool> Take(MemoryAccount& memory, std::size_t bytes) {
+    if (!memory.MayEverFit(bytes) || memory.bytes() > kMaxWaitingBytes) {
+      co_return false;
+    }
+    asio::steady_timer timer(exchange_.executor_);
+    while (!exchange_.aborted_) {
+      if (memory.Resize(bytes)) {
+        co_return true;
+      }
+      boost::system::error_code ec;
+      timer.expires_after(kMemoryPollInterval);
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    co_return false;
+  }
+
+ private:
+  EndpointExchange& exchange_;
+};
+
 EndpointExchange::EndpointExchange(asio::any_io_executor executor,
                                    EndpointPool& pool,
                                    EndpointTarget target,
@@ -115,7 +148,7 @@
   if (ec) {
     co_return false;
   }
-  connection_.emplace(Tcp::socket(executor_));
+  connection_.emplace(Tcp::socket(executor_), pool_.memory());
   Tcp::socket& socket = connection_->socket();
   co_await socket.async_connect(peer,
                                 asio::redirect_error(asio::use_awaitable, ec));
@@ -247,19 +280,62 @@
   co_return answer;
 }
 
+asio::awaitable<bool> EndpointExchange::ReadHead(AnswerParser& parser) {
+  MeteredBuffer& buf = connection_->buffer();
+  std::size_t end = std::string_view::npos;
+  while ((end = buf.text().find(kEndOfHead)) == std::string_view::npos) {
+    if (buf.size() > limits_.answer_header_bytes) {
+      co_return false;
+    }
+    const ReadEnd more = co_await ReadMore(connection_->socket(), buf);
+    bytes_ += more.bytes;
+    if (more.ec) {
+      co_return false;
+    }
+  }
+  const std::size_t size = end + kEndOfHead.size();
+  if (!answer_memory_.Resize(kMemoryPerHeadByte * size)) {
+    co_return false;
+  }
+  boost::system::error_code ec;
+  parser.put(asio::const_buffer(buf.data().data(), size), ec);
+  buf.Consume(size);
+  co_return !ec && parser.is_header_done();
+}
+
+asio::awaitable<bool> EndpointExchange::ReadInto(AnswerParser& parser) {
+  answer_memory_ = MemoryAccount(pool_.memory(), MemoryBudget::Source::kAnswer);
+  const bool has_head = co_await ReadHead(parser);
+  if (!has_head) {
+    co_return false;
+  }
+  AnswerRoom room(*this);
+  const bool is_taken = co_await TakeStatedBody(parser, answer_memory_, room);
+  if (!is_taken) {
+    Abort(SendResult::kCancelled);
+    co_return false;
+  }
+  const ReadEnd end =
+      co_await ReadBody(connection_->socket(), connection_->buffer(), parser,
+                        limits_.answer_bytes, answer_memory_, room);
+  bytes_ += end.bytes;
+  if (end.ec == boost::system::errc::not_enough_memory) {
+    // The endpoint is not at fault.
+    Abort(SendResult::kCancelled);
+  }
+  co_return !end.ec;
+}
+
 // Returns null if no complete answer arrived.
 asio::awaitable<std::optional<HttpResponse>> EndpointExchange::ReadAnswer(
     bool to_head) {
   for (int n = 0; n < kMaxInterimAnswers; ++n) {
-    http::response_parser<http::string_body> parser;
+    AnswerParser parser;
     parser.body_limit(limits_.answer_bytes);
     parser.header_limit(limits_.answer_header_bytes);
     parser.skip(to_head);
-    boost::system::error_code ec;
-    bytes_ += co_await http::async_read(
-        connection_->socket(), connection_->buffer(), parser,
-        asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) {
+    const bool is_read = co_await ReadInto(parser);
+    if (!is_read) {
       co_return std::nullopt;
     }
     if (parser.get().result_int() / 100 == kInformational) {
@@ -386,6 +462,7 @@
     out.signals = ReadEndpointSignals(*answer, names_);
   }
   out.answer = std::move(answer);
+  out.memory = std::move(answer_memory_);
   co_return result;
 }
 
@@ -405,6 +482,7 @@
   if (reusable_ && !aborted_ && !draining) {
     peer_check_.cancel();
     RestoreTimeout();
+    connection_->buffer().Shrink();
     pool_.Put(target_, std::move(*connection_), Clock::now(), stated_idle_);
     connection_.reset();
     return;
@@ -446,6 +524,7 @@
       (out.report && out.report->mode == EndpointMode::kDraining) ||
       (out.signals && out.signals->leaving);
   ReleaseConnection(is_draining);
+  answer_memory_.Release();
   aborted_ = SendResult::kCancelled;
   co_return out;
 }
--- a/proxy/endpoint_exchange.h
+++ b/proxy/endpoint_exchange.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/memory_account.h"
 #include "core/tcp_liveness.h"
 #include "core/time.h"
 #include "policy/call.h"
@@ -51,6 +52,8 @@
   ConnectionId connection = 0;
   // In the order in which they were read.
   std::vector<StrayAnswer> strays;
+  // What the answer holds.
+  MemoryAccount memory = {};
 };
 
 // Sends one request to one endpoint once and reads the answer. Used on one I/O
@@ -92,6 +95,9 @@
   void Cancel();
 
  private:
+  using AnswerParser = http::response_parser<http::string_body>;
+  class AnswerRoom;
+
   // Maximum idle time of a connection that counts as recently used.
   static constexpr Duration kRecentUse = std::chrono::milliseconds(1000);
 
@@ -107,6 +113,10 @@
   asio::awaitable<std::optional<HttpResponse>> SendLongAndRead(
       const HttpRequest& request);
   asio::awaitable<std::optional<HttpResponse>> ReadAnswer(bool to_head);
+  // Reads one answer, which may be an interim one. Returns false if it did not
+  // arrive whole.
+  asio::awaitable<bool> ReadInto(AnswerParser& parser);
+  asio::awaitable<bool> ReadHead(AnswerParser& parser);
   // Reads answers, skipping those that belong to other requests.
   asio::awaitable<std::optional<HttpResponse>> ReadOwnAnswer(bool to_head);
   bool HasAcceptableEnd(const HttpResponse& answer, bool to_head) const;
@@ -151,6 +161,8 @@
   bool is_probe_ = false;
   ConnectionNeeds needs_;
   std::vector<StrayAnswer> strays_;
+  // What the answer that was read last holds.
+  MemoryAccount answer_memory_;
 };
 
 }  // namespace damasktack
--- a/proxy/endpoint_pool.cc
+++ b/proxy/endpoint_pool.cc
@@ -23,7 +23,8 @@
 
 }  // namespace
 
-EndpointPool::EndpointPool(Duration max_idle) : max_idle_(max_idle) {}
+EndpointPool::EndpointPool(Duration max_idle, MemoryBudget* memory)
+    : max_idle_(max_idle), memory_(memory) {}
 
 std::vector<EndpointPool::Idle>::iterator EndpointPool::Find(
     std::vector<Idle>& idle,
--- a/proxy/endpoint_pool.h
+++ b/proxy/endpoint_pool.h
@@ -10,6 +10,7 @@
 #include "contract/service.h"
 #include "core/ids.h"
 #include "core/json_reader.h"
+#include "core/memory_budget.h"
 #include "core/time.h"
 #include "proxy/endpoint_connection.h"
 #include "proxy/http_types.h"
@@ -49,7 +50,10 @@
 class EndpointPool {
  public:
   // Connections that have been idle for longer than `max_idle` are closed.
-  explicit EndpointPool(Duration max_idle);
+  // What its connections read is taken from `memory`; null means no limit.
+  explicit EndpointPool(Duration max_idle, MemoryBudget* memory = nullptr);
+
+  MemoryBudget* memory() const { return memory_; }
 
   // Returns a usable idle connection, or null if there is none. Each Take must
   // be followed by exactly one Put or Discard.
@@ -98,6 +102,7 @@
                                           TimePoint now);
 
   const Duration max_idle_;
+  MemoryBudget* const memory_;
   std::map<SocketAddress, Connections> by_address_;
 };
 
--- a/proxy/failure.cc
+++ b/proxy/failure.cc
@@ -47,6 +47,11 @@
      http::status::service_unavailable,
      "reuse connections, or try again after the time in Retry-After",
      seconds(1)},
+    {FailureKind::kMemoryShort, "memory-short",
+     http::status::service_unavailable,
+     "try again after the time in Retry-After, if possible through another "
+     "entry host",
+     seconds(1)},
     {FailureKind::kUnknownCustomer, "unknown-customer",
      http::status::unauthorized, "send the key of a contract in Damasktack-Key",
      seconds(0)},
--- a/proxy/failure.h
+++ b/proxy/failure.h
@@ -26,6 +26,7 @@
   kVersion,
   kExpectation,
   kTooManyConnections,
+  kMemoryShort,
   kUnknownCustomer,
   kNotInContract,
   kNoRoute,
@@ -50,7 +51,7 @@
   kRelayRefused,
   kInternal,
 };
-inline constexpr std::size_t kFailureKindCount = 32;
+inline constexpr std::size_t kFailureKindCount = 33;
 
 // Returns the name used in answers and metrics.
 std::string_view ToString(FailureKind kind);
--- a/proxy/proxy_loop.cc
+++ b/proxy/proxy_loop.cc
@@ -2,8 +2,8 @@
 
 namespace damasktack {
 
-ProxyLoop::ProxyLoop(Duration endpoint_idle)
-    : pool_(endpoint_idle),
+ProxyLoop::ProxyLoop(Duration endpoint_idle, MemoryBudget& memory)
+    : pool_(endpoint_idle, &memory),
       context_(std::make_unique<asio::io_context>(1)),
       work_(context_->get_executor()),
       poster_(std::make_shared<LoopPoster>(*context_)) {}
--- a/proxy/proxy_loop.h
+++ b/proxy/proxy_loop.h
@@ -16,7 +16,9 @@
 // the caller sessions that it serves.
 class ProxyLoop {
  public:
-  explicit ProxyLoop(Duration endpoint_idle);
+  // What the connections read is taken from `memory`, which must outlive the
+  // loop.
+  ProxyLoop(Duration endpoint_idle, MemoryBudget& memory);
   // Stops the thread and aborts all calls in flight.
   ~ProxyLoop();
 
--- a/proxy/proxy_state.cc
+++ b/proxy/proxy_state.cc
@@ -9,6 +9,12 @@
 
 namespace {
 
+std::size_t MessageMemory(const ProxyOptions& options) {
+  constexpr std::int64_t kMegabyte = 1'000'000;
+  return static_cast<std::size_t>(options.memory_mb * kMegabyte / 100 *
+                                  kMessageMemoryPercent);
+}
+
 bool IsListed(const RoutingTable& table, const EndpointProcess& process) {
   const auto is_it = [&](const EndpointSpec& it) {
     return it.id == process.id && it.started_at == process.started_at;
@@ -23,7 +29,10 @@
 ProxyState::ProxyState(ProxyOptions options,
                        LimitGate& limits,
                        ClaimGate& claims)
-    : options_(std::move(options)), limits_(limits), claims_(claims) {
+    : options_(std::move(options)),
+      memory_(MessageMemory(options_)),
+      limits_(limits),
+      claims_(claims) {
   endpoint_rates_.SetOnReceived([this](const StatedRate& stated) {
     for (const auto& [id, dispatcher] : dispatchers()) {
       dispatcher->OnPeerRateLimit(stated);
@@ -167,6 +176,14 @@
   std::ostringstream out;
   out << metrics_.Render() << counters_.Render(stopping_)
       << quarantine_.RenderMetrics()
+      << "# TYPE damasktack_message_bytes gauge\n"
+      << "damasktack_message_bytes " << memory_.used() << "\n"
+      << "# TYPE damasktack_message_bytes_peak gauge\n"
+      << "damasktack_message_bytes_peak " << memory_.peak() << "\n"
+      << "# TYPE damasktack_message_bytes_limit gauge\n"
+      << "damasktack_message_bytes_limit " << memory_.limit() << "\n"
+      << "# TYPE damasktack_memory_refusals_total counter\n"
+      << "damasktack_memory_refusals_total " << memory_.refusals() << "\n"
       << "# TYPE damasktack_endpoint_rate_limits gauge\n"
       << "damasktack_endpoint_rate_limits " << endpoint_rates_.InForce().size()
       << "\n"
--- a/proxy/proxy_state.h
+++ b/proxy/proxy_state.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <utility>
 
+#include "core/memory_budget.h"
 #include "fleet/claim_gate.h"
 #include "fleet/endpoint_rates.h"
 #include "fleet/limit_gate.h"
@@ -30,6 +31,10 @@
 
 namespace damasktack {
 
+// Part of a process's memory that messages may take. The rest is for its code,
+// its tables and its connections.
+inline constexpr std::int64_t kMessageMemoryPercent = 60;
+
 // Settings of the proxy.
 struct ProxyOptions {
   // The deployment's header names and protocol variants; not a setting of its
@@ -38,6 +43,9 @@
   SocketAddress listen;
   std::int64_t threads = 2;
   std::int64_t connections = 4096;
+  // Memory that the process may use, in megabytes (10^6 bytes). Messages may
+  // take kMessageMemoryPercent of it.
+  std::int64_t memory_mb = 1024;
   std::int64_t request_header_bytes = 16 << 10;
   std::int64_t request_body_bytes = 1 << 20;
   Duration idle_timeout = std::chrono::seconds(60);
@@ -81,6 +89,9 @@
 
   const ProxyOptions& options() const { return options_; }
   LimitGate& limits() { return limits_; }
+  // Bounds what the messages of callers, peers and endpoints hold.
+  MemoryBudget& memory() { return memory_; }
+  const MemoryBudget& memory() const { return memory_; }
   ClaimGate& claims() { return claims_; }
   RequestQuarantine& quarantine() { return quarantine_; }
   EndpointRates& endpoint_rates() { return endpoint_rates_; }
@@ -159,6 +170,7 @@
   void RemoveUnlisted(const RoutingTable& table, TimePoint now);
 
   const ProxyOptions options_;
+  MemoryBudget memory_;
   LimitGate& limits_;
   ClaimGate& claims_;
   RequestQuarantine quarantine_;
--- a/tests/crowd/crowd_host.cc
+++ b/tests/crowd/crowd_host.cc
@@ -103,6 +103,7 @@
                 {"relay_listen", Local(relays_)},
                 {"threads", 1},
                 {"connections", kCallerConnections},
+                {"memory_mb", kMachineBytes / 1'000'000},
                 {"measures_before_sending", true}}},
               {"admin",
                {{"listen", Local(admin_)},
--- a/tests/proxy/exchange_fixture.h
+++ b/tests/proxy/exchange_fixture.h
@@ -17,8 +17,9 @@
 // Exchanges with one endpoint, one after the other, on one thread.
 class ExchangeFixture {
  public:
-  explicit ExchangeFixture(const RawEndpoint& endpoint)
-      : pool_(std::chrono::seconds(4)) {
+  explicit ExchangeFixture(const RawEndpoint& endpoint,
+                           MemoryBudget* memory = nullptr)
+      : pool_(std::chrono::seconds(4), memory) {
     target_.address = {"127.0.0.1", endpoint.port()};
     target_.connections = 8;
     target_.id = EndpointId("i-0");
