An answer whose status is none reaches no caller

Cause: three digits are all that the parser asks of a status, and the exchange skipped 1xx and passed on the rest.

Change: an exchange takes statuses from 200 to 599, and skips 1xx but 101; any other answer is broken: it counts against its endpoint, and its call may have run (502). Probes, crash checks and relayed calls use the same exchange. The same cause where answers are read elsewhere: an answer kept under an Idempotency-Key that a peer sends (100 to 199 were taken), and the load generator (counted it as complete). The clients of the store and the platform's documents, and damasktackctl, take 200 (and 304) only: by reading.

--- a/fleet/claim_messages.cc
+++ b/fleet/claim_messages.cc
@@ -45,6 +45,10 @@
   }
 }
 
+// Only a final answer is kept.
+constexpr std::int64_t kFirstFinalStatus = 200;
+constexpr std::int64_t kLastFinalStatus = 599;
+
 // The body is encoded as binary, as it may hold any bytes and CBOR text must be
 // UTF-8.
 Json AnswerToJson(const StoredAnswer& answer) {
@@ -64,7 +68,7 @@
   StoredAnswer answer;
   std::int64_t status = 0;
   JsonReader nested(*json, reader.PathOf("answer"));
-  nested.Read("status", status, 100, 599);
+  nested.Read("status", status, kFirstFinalStatus, kLastFinalStatus);
   nested.ReadOptional("content_type", answer.content_type);
   const auto body = json->find("body");
   if (body == json->end() || !body->is_binary()) {
--- a/main/load_generator.cc
+++ b/main/load_generator.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/random.h"
+#include "proxy/answer_check.h"
 #include "proxy/endpoint_pool.h"
 #include "proxy/http_types.h"
 
@@ -217,7 +218,7 @@
                               asio::redirect_error(asio::use_awaitable, ec));
   }
   connection.timer.cancel();
-  co_return !ec;
+  co_return !ec && IsFinalStatus(answer.result_int());
 }
 
 asio::awaitable<LoadRecord> LoadGenerator::Backend::SendOnce(const Call& call) {
--- /dev/null
+++ b/proxy/answer_check.h
@@ -0,0 +1,17 @@
+#ifndef PROXY_ANSWER_CHECK_H_
+#define PROXY_ANSWER_CHECK_H_
+
+namespace damasktack {
+
+// Checks what an endpoint or peer sends as an answer.
+
+// Whether a status ends a request: from 200 to 599. Any other is none of HTTP,
+// or announces a further answer.
+bool IsFinalStatus(unsigned status);
+// Whether a further answer to the same request follows. Not for 101, after
+// which the connection speaks another protocol.
+bool IsInterimStatus(unsigned status);
+
+}  // namespace damasktack
+
+#endif  // PROXY_ANSWER_CHECK_H_
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "proxy/answer_check.h"
 #include "proxy/endpoint_report_codec.h"
 #include "proxy/endpoint_signals_codec.h"
 #include "proxy/message_reader.h"
@@ -15,7 +16,6 @@
 
 constexpr unsigned kFirstClientError = 400;
 constexpr unsigned kFirstServerError = 500;
-constexpr unsigned kInformational = 1;
 // More interim (1xx) answers before the final one are treated as a fault.
 constexpr int kMaxInterimAnswers = 16;
 // Number of answers to other calls that are skipped before the connection is
@@ -300,7 +300,9 @@
   boost::system::error_code ec;
   parser.put(asio::const_buffer(buf.data().data(), size), ec);
   buf.Consume(size);
-  co_return !ec && parser.is_header_done();
+  const unsigned status = parser.get().result_int();
+  co_return !ec && parser.is_header_done() &&
+      (IsFinalStatus(status) || IsInterimStatus(status));
 }
 
 asio::awaitable<bool> EndpointExchange::ReadInto(AnswerParser& parser) {
@@ -338,7 +340,7 @@
     if (!is_read) {
       co_return std::nullopt;
     }
-    if (parser.get().result_int() / 100 == kInformational) {
+    if (IsInterimStatus(parser.get().result_int())) {
       continue;
     }
     if (!HasAcceptableEnd(parser.get(), to_head)) {
--- a/tests/fleet/test_claim_messages.cc
+++ b/tests/fleet/test_claim_messages.cc
@@ -41,4 +41,26 @@
   }
 }
 
+// Guards against a peer's word for an answer that no caller may get.
+TEST_CASE("a kept answer whose status is none is refused") {
+  for (const int status : {0, 99, 100, 199, 600}) {
+    CAPTURE(status);
+    const ClaimRecord record{CustomerId("parks"),
+                             "key",
+                             1,
+                             9,
+                             true,
+                             std::chrono::seconds(2),
+                             StoredAnswer{status, "", "body"}};
+    const bool is_decoded = Try(
+        [&]() -> leaf::result<bool> {
+          BOOST_LEAF_CHECK(DecodePeerMessage(
+              EncodePeerMessage(ClaimSettle{3, ClaimBallot{}, record})));
+          return true;
+        },
+        [](const Error&) { return false; });
+    CHECK(!is_decoded);
+  }
+}
+
 }  // namespace damasktack
--- a/tests/main/test_load_generator.cc
+++ b/tests/main/test_load_generator.cc
@@ -3,6 +3,7 @@
 #include "main/load_generator.h"
 #include "main/load_report.h"
 #include "standin/standin_endpoint.h"
+#include "tests/proxy/raw_peer.h"
 
 namespace damasktack {
 namespace {
@@ -62,6 +63,23 @@
         records.size());
 }
 
+// Guards against a status that is none, counted as an answer.
+TEST_CASE("an answer whose status is none is recorded as cut") {
+  const RawEndpoint endpoint([](RawConnection& it) {
+    it.ReadMessage();
+    it.Send(
+        "HTTP/1.1 000 X\r\nDamasktack-Outcome: complete\r\n"
+        "Content-Length: 0\r\n\r\n");
+    it.WaitForHangUp();
+  });
+  const LoadPlan plan = MakePlan(endpoint.port());
+  const LoadRecords records = LoadGenerator(plan).Run();
+  const auto report = ReportLoad(plan, records).front();
+  CHECK(!records.empty());
+  CHECK(report.outcomes[static_cast<std::size_t>(LoadOutcome::kCut)] ==
+        records.size());
+}
+
 TEST_CASE("an error in a plan names its location") {
   const auto error_of = [](std::string_view text) {
     return Try(
