An answer that ends with its connection needs the whole request delivered

Seen by users (MIXED): an upstream answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer.

Cause: a socket reports a reset once. While a request is written, the write takes the error, and the read that follows sees a regular end, which ends an answer without a length.

Change: such an answer is complete only if the request was written whole and the endpoint's kernel has acknowledged all of it (where the kernel tells). After an early close, which may as well have cut the answer off, it is broken too. Answers with a length or in chunks are complete as before, also early ones.

Counterparts that hold: early answers with a length, and answers without one after a whole upload. Short requests see the reset in the read itself (tests/proxy/test_cut_answers.cc).

--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -343,7 +343,9 @@
     if (IsInterimStatus(parser.get().result_int())) {
       continue;
     }
-    if (!HasAcceptableEnd(parser.get(), to_head)) {
+    const bool ends_at_close = parser.need_eof();
+    if (!HasAcceptableEnd(parser.get(), to_head) ||
+        (ends_at_close && !HasDeliveredRequest())) {
       co_return std::nullopt;
     }
     HttpResponse answer = parser.release();
@@ -359,6 +361,18 @@
   co_return std::nullopt;
 }
 
+// A reset is reported once, to the write if one is in progress; the read then
+// sees a regular end. A reset always leaves a part of the request undelivered
+// if the endpoint had not read all of it.
+bool EndpointExchange::HasDeliveredRequest() {
+  if (!wrote_all_) {
+    return false;
+  }
+  const std::optional<TcpProgress> progress =
+      ReadTcpProgress(connection_->socket().native_handle());
+  return !progress || !progress->has_pending;
+}
+
 bool EndpointExchange::HasAcceptableEnd(const HttpResponse& answer,
                                         bool to_head) const {
   const bool has_no_end = answer.count(http::field::content_length) == 0 &&
--- a/proxy/endpoint_exchange.h
+++ b/proxy/endpoint_exchange.h
@@ -119,6 +119,9 @@
   asio::awaitable<bool> ReadHead(AnswerParser& parser);
   // Reads answers, skipping those that belong to other requests.
   asio::awaitable<std::optional<HttpResponse>> ReadOwnAnswer(bool to_head);
+  // Whether the endpoint's kernel has the whole request, as far as this is
+  // known.
+  bool HasDeliveredRequest();
   bool HasAcceptableEnd(const HttpResponse& answer, bool to_head) const;
   std::optional<EndpointReport> ReadReport(const HttpResponse& answer) const;
   asio::awaitable<SendResult> Transfer(const HttpRequest& request,
--- a/tests/proxy/test_malformed_answers.cc
+++ b/tests/proxy/test_malformed_answers.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <thread>
 
 #include "exchange_fixture.h"
 
@@ -50,5 +51,70 @@
   }
 }
 
+// Guards against a body that has no length and ends in a reset while the
+// request is written: the write consumes the error, and the read then sees a
+// regular end.
+TEST_CASE(
+    "an answer that a reset ends during a long upload is never complete") {
+  constexpr int kPlays = 20;
+  const std::string upload(8 << 20, 'u');
+  for (int n = 0; n < kPlays; ++n) {
+    const RawEndpoint endpoint([&](RawConnection& it) {
+      it.ReadHead();
+      it.Send("HTTP/1.1 200 OK\r\n" + kNamed + "\r\npart of the body");
+      std::this_thread::sleep_for(std::chrono::milliseconds(5 * (n % 4)));
+      it.Reset();
+    });
+    const ExchangeResult result =
+        ExchangeFixture(endpoint).Send(Kind::kUnsafe, "c-1", upload, kTimeout);
+    CHECK(result.result == SendResult::kBroken);
+    CHECK(!result.answer);
+  }
+}
+
+// The counterpart: an endpoint that answers early and closes regularly.
+TEST_CASE("an early answer with a length is complete during a long upload") {
+  const std::string upload(8 << 20, 'u');
+  const RawEndpoint endpoint([&](RawConnection& it) {
+    it.ReadHead();
+    it.Send("HTTP/1.1 200 OK\r\n" + kNamed + "Content-Length: 2\r\n\r\nok");
+    it.WaitForHangUp();
+  });
+  const ExchangeResult result =
+      ExchangeFixture(endpoint).Send(Kind::kUnsafe, "c-1", upload, kTimeout);
+  REQUIRE(result.answer);
+  CHECK(result.answer->body() == "ok");
+}
+
+// An answer without a length is believed only if the endpoint had the whole
+// request: it may have broken off as well.
+TEST_CASE("an early answer without a length is no whole one if it closes") {
+  const std::string upload(8 << 20, 'u');
+  for (const bool closes_all : {false, true}) {
+    const RawEndpoint endpoint([&](RawConnection& it) {
+      it.ReadHead();
+      it.Send("HTTP/1.1 200 OK\r\n" + kNamed + "\r\nok");
+      closes_all ? it.Close() : it.FinishSending();
+      it.WaitForHangUp();
+    });
+    const ExchangeResult result =
+        ExchangeFixture(endpoint).Send(Kind::kUnsafe, "c-1", upload, kTimeout);
+    CHECK(result.result == SendResult::kBroken);
+    CHECK(!result.answer);
+  }
+}
+
+TEST_CASE("an answer without a length is complete after a whole upload") {
+  const std::string upload(8 << 20, 'u');
+  const RawEndpoint endpoint([&](RawConnection& it) {
+    it.ReadMessage();
+    it.Send("HTTP/1.1 200 OK\r\n" + kNamed + "\r\nok");
+  });
+  const ExchangeResult result =
+      ExchangeFixture(endpoint).Send(Kind::kUnsafe, "c-1", upload, kTimeout);
+  REQUIRE(result.answer);
+  CHECK(result.answer->body() == "ok");
+}
+
 }  // namespace
 }  // namespace damasktack
