An answer with a field name that is no token is passed on to no caller

Seen by others (MIXED): an upstream in trouble sent an answer in whose head the name of a field held a blank or a control byte; the client got it as an answer, with that line passed on or with a body that was not the upstream's.

Here blanks and control bytes inside a name were refused already. A line that begins with a blank or a tab was not: the parser joins it to the field before it, here also where the line stated the body's length. Lines behind the last chunk of a body were added to the head, also where they were none of it.

Change: the raw head is checked line by line before it is parsed (HasPlainFields); an answer that fails is broken (502). Trailers are dropped, which RFC 9110 allows, instead of merged into the head.

--- a/proxy/answer_check.cc
+++ b/proxy/answer_check.cc
@@ -1,5 +1,7 @@
 #include "proxy/answer_check.h"
 
+#include "proxy/http_text.h"
+
 namespace damasktack {
 
 namespace {
@@ -11,6 +13,20 @@
 
 }  // namespace
 
+bool HasPlainFields(std::string_view head) {
+  head.remove_prefix(head.find(kLineEnd) + kLineEnd.size());
+  while (!head.starts_with(kLineEnd)) {
+    const std::size_t end = head.find(kLineEnd);
+    const std::size_t colon = head.find(':');
+    if (end == std::string_view::npos || colon > end ||
+        !IsToken(head.substr(0, colon))) {
+      return false;
+    }
+    head.remove_prefix(end + kLineEnd.size());
+  }
+  return true;
+}
+
 bool IsFinalStatus(unsigned status) {
   return status >= kFirstFinal && status <= kLastFinal;
 }
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -294,7 +294,8 @@
     }
   }
   const std::size_t size = end + kEndOfHead.size();
-  if (!answer_memory_.Resize(kMemoryPerHeadByte * size)) {
+  if (!HasPlainFields(buf.text().substr(0, size)) ||
+      !answer_memory_.Resize(kMemoryPerHeadByte * size)) {
     co_return false;
   }
   boost::system::error_code ec;
@@ -317,6 +318,10 @@
     Abort(SendResult::kCancelled);
     co_return false;
   }
+  std::optional<http::fields> head;
+  if (parser.chunked()) {
+    head = parser.get();
+  }
   const ReadEnd end =
       co_await ReadBody(connection_->socket(), connection_->buffer(), parser,
                         limits_.answer_bytes, answer_memory_, room);
@@ -325,6 +330,10 @@
     // The endpoint is not at fault.
     Abort(SendResult::kCancelled);
   }
+  if (!end.ec && head) {
+    // Without the trailers, which the parser has added.
+    static_cast<http::fields&>(parser.get()) = std::move(*head);
+  }
   co_return !end.ec;
 }
 
--- a/proxy/request_check.cc
+++ b/proxy/request_check.cc
@@ -4,32 +4,15 @@
 #include <array>
 #include <string>
 
+#include "proxy/http_text.h"
+
 namespace damasktack {
 
 namespace {
 
-constexpr std::string_view kLineEnd = "\r\n";
 // Enough for any number within the limits, and cannot overflow 64 bits.
 constexpr std::size_t kMaxDigits = 18;
 
-bool IsDigit(char it) {
-  return it >= '0' && it <= '9';
-}
-
-bool IsLetter(char it) {
-  return (it >= 'a' && it <= 'z') || (it >= 'A' && it <= 'Z');
-}
-
-bool IsTokenChar(char it) {
-  constexpr std::string_view kOthers = "!#$%&'*+-.^_`|~";
-  return IsDigit(it) || IsLetter(it) ||
-         kOthers.find(it) != std::string_view::npos;
-}
-
-bool IsToken(std::string_view text) {
-  return !text.empty() && std::ranges::all_of(text, IsTokenChar);
-}
-
 bool IsControl(char it) {
   const auto code = static_cast<unsigned char>(it);
   return (code < 0x20 && it != '\t') || code == 0x7f;
--- a/tests/proxy/test_malformed_answers.cc
+++ b/tests/proxy/test_malformed_answers.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "exchange_fixture.h"
 
@@ -51,6 +52,65 @@
   }
 }
 
+// Guards against a field whose name holds a blank or a control byte: a line
+// that begins with a blank was joined to the line before it, also if it stated
+// the body's length.
+TEST_CASE("an answer with a field name that is no token is given up") {
+  const std::vector<std::string> lines = {"X A: b",
+                                          "X-A : b",
+                                          " X-A: b",
+                                          "\tX-A: b",
+                                          "X\x01-A: b",
+                                          "X-A\x7f: b",
+                                          "X\x80-A: b",
+                                          ": b",
+                                          "X-A",
+                                          " folded",
+                                          "X(A): b",
+                                          "Content-Length : 2",
+                                          "X\t-A: b",
+                                          " Content-Length: 2",
+                                          "\tContent-Length: 2",
+                                          std::string("X\0-A: b", 7)};
+  for (const std::string& line : lines) {
+    for (const Kind kind : {Kind::kSafe, Kind::kUnsafe}) {
+      CAPTURE(line);
+      const ExchangeResult result =
+          ResultOf("HTTP/1.1 200 OK\r\n" + kNamed + "X-B: b\r\n" + line +
+                       "\r\nContent-Length: 4\r\n\r\nbody",
+                   kind);
+      CHECK(result.result == SendResult::kBroken);
+      CHECK(!result.answer);
+    }
+  }
+}
+
+TEST_CASE("a first field whose name is no token is not passed on") {
+  for (const std::string line : {"X A: b", " X-A: b", "X\x01-A: b"}) {
+    CAPTURE(line);
+    CHECK(!ResultOf("HTTP/1.1 200 OK\r\n" + line + "\r\n" + kNamed +
+                    "Content-Length: 4\r\n\r\nbody")
+               .answer);
+  }
+}
+
+// Guards against the same lines behind the last chunk of a body.
+TEST_CASE("no line behind a body is passed on as one of the head") {
+  for (const std::string line : {"X A: b", " X-A: b", "X\x01-A: b", "X-A: b"}) {
+    CAPTURE(line);
+    const ExchangeResult result =
+        ResultOf("HTTP/1.1 200 OK\r\n" + kNamed +
+                 "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+                 "X-B: b\r\n" +
+                 line + "\r\n\r\n");
+    if (result.answer) {
+      CHECK(result.answer->body() == "body");
+      CHECK(result.answer->count("X-A") == 0);
+      CHECK(result.answer->count("X-B") == 0);
+    }
+  }
+}
+
 // Guards against a body that has no length and ends in a reset while the
 // request is written: the write consumes the error, and the read then sees a
 // regular end.
