Bodies in chunks are held once, and moderate bodies leave room to small requests

Seen by hand, one host of 160 MB as the deploy file starts it: 24 bodies of 64 MiB in chunks took it to 142 MiB, where its budget and what it holds at rest make 83; 2,500 bodies of 60 KB that stop short kept ordinary requests out (503).

Causes: the last part of a body counts its framing too, so its capacity was raised beyond the limit on bodies, by a copy of all of it. And a body of up to 64 KiB might take the last byte of the budget.

Change: capacity is raised once, to the limit on bodies, or to the budget where that is smaller (a published limit may exceed any memory). Only requests of up to 8 KiB and answers of up to 64 KiB may use the last eighth.

--- a/core/memory_account.h
+++ b/core/memory_account.h
@@ -2,6 +2,7 @@
 #define CORE_MEMORY_ACCOUNT_H_
 
 #include <cstddef>
+#include <limits>
 
 #include "core/memory_budget.h"
 
@@ -28,7 +29,11 @@
   void Release() { Resize(0); }
 
   std::size_t bytes() const { return bytes_; }
-  const MemoryBudget* budget() const { return budget_; }
+  // Returns a size that the account never exceeds.
+  std::size_t limit() const {
+    return budget_ == nullptr ? std::numeric_limits<std::size_t>::max()
+                              : budget_->limit();
+  }
   // Whether a message of this size fits into the budget at all.
   bool MayEverFit(std::size_t bytes) const {
     return budget_ == nullptr || budget_->MayEverFit(source_, bytes);
--- a/core/memory_budget.cc
+++ b/core/memory_budget.cc
@@ -4,7 +4,8 @@
 
 namespace {
 
-constexpr std::size_t kMaxSmallBytes = 64U << 10U;
+constexpr std::size_t kMaxSmallRequestBytes = 8U << 10U;
+constexpr std::size_t kMaxSmallAnswerBytes = 64U << 10U;
 constexpr std::size_t kMaxMediumBytes = 1U << 20U;
 
 }  // namespace
@@ -12,7 +13,9 @@
 std::size_t MemoryBudget::Ceiling(Source source,
                                   std::size_t bytes,
                                   std::size_t limit) {
-  if (bytes <= kMaxSmallBytes) {
+  const std::size_t max_small_bytes =
+      source == Source::kRequest ? kMaxSmallRequestBytes : kMaxSmallAnswerBytes;
+  if (bytes <= max_small_bytes) {
     return limit;
   }
   const std::size_t eighth = limit / 8;
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -20,7 +20,7 @@
 // A request that pauses for longer may be cut off when memory is short.
 constexpr Duration kStallTime = std::chrono::milliseconds(500);
 // A request that holds less is not worth cutting off.
-constexpr std::size_t kMinCutBytes = 64U << 10U;
+constexpr std::size_t kMinCutBytes = 16U << 10U;
 // Longer than peers keep idle connections, so that they close them first.
 constexpr Duration kPeerIdleTimeout = std::chrono::minutes(15);
 constexpr Duration kMaxLinger = std::chrono::seconds(1);
--- a/proxy/message_reader.h
+++ b/proxy/message_reader.h
@@ -44,11 +44,14 @@
   return make_error_code(boost::system::errc::not_enough_memory);
 }
 
+// Makes room for a body of `bytes`, which may count framing too; a body has at
+// most `max_bytes`.
 inline void ReserveCapacity(std::string& body,
                             std::size_t bytes,
                             std::size_t max_bytes) {
-  if (bytes > body.capacity() && bytes > kMaxCopiedBytes) {
-    body.reserve(std::max(bytes, max_bytes));
+  const std::size_t needed = std::min(bytes, max_bytes);
+  if (needed > body.capacity() && needed > kMaxCopiedBytes) {
+    body.reserve(max_bytes);
   }
 }
 
@@ -99,6 +102,7 @@
   ReadEnd end;
   const bool has_length = parser.content_length_remaining().has_value();
   const std::size_t head_bytes = memory.bytes();
+  const std::size_t max_capacity = std::min(max_body_bytes, memory.limit());
   parser.eager(true);
   while (!parser.is_done()) {
     if (buf.size() > 0) {
@@ -112,7 +116,7 @@
           co_return end;
         }
       }
-      detail::ReserveCapacity(body, body_bytes, max_body_bytes);
+      detail::ReserveCapacity(body, body_bytes, max_capacity);
       buf.Consume(parser.put(buf.data(), end.ec));
       if (end.ec && end.ec != http::error::need_more) {
         co_return end;
--- a/tests/core/test_memory_budget.cc
+++ b/tests/core/test_memory_budget.cc
@@ -55,6 +55,25 @@
   CHECK(budget.refusals() == 3);
 }
 
+// Guards against many bodies of moderate size that keep ordinary requests out.
+TEST_CASE("requests of any size leave room to those of a few bytes") {
+  for (const std::size_t bytes : {9000U, 60'000U, 1'000'000U, 3'000'000U}) {
+    CAPTURE(bytes);
+    MemoryBudget budget(kLimit);
+    std::vector<MemoryAccount> crowd;
+    bool has_room = true;
+    while (has_room) {
+      crowd.emplace_back(&budget, Source::kRequest);
+      has_room = crowd.back().Resize(bytes);
+    }
+    CHECK(budget.used() <= kLimit / 8 * 7);
+    MemoryAccount request(&budget, Source::kRequest);
+    MemoryAccount answer(&budget, Source::kAnswer);
+    CHECK(request.Resize(8000));
+    CHECK(answer.Resize(60'000));
+  }
+}
+
 // Guards against memory that is lost from the budget, or held beyond it, on any
 // order of growth, refusal, move and end of messages.
 TEST_CASE("any order of events stays within the limit and ends at zero") {
--- a/tests/proxy/test_memory_limits.cc
+++ b/tests/proxy/test_memory_limits.cc
@@ -8,6 +8,7 @@
 
 #include "core/memory_account.h"
 #include "exchange_fixture.h"
+#include "proxy/message_reader.h"
 #include "proxy_fixture.h"
 
 namespace damasktack {
@@ -120,6 +121,25 @@
   CHECK(StatusOf(caller.ReadMessage()) == 503);
 }
 
+// Guards against a published limit that no memory could hold.
+TEST_CASE("a limit on bodies beyond any memory refuses no request in chunks") {
+  const RawEndpoint endpoint([](RawConnection& it) {
+    it.ReadMessage();
+    it.Send(OkAnswer("ran"));
+    it.WaitForHangUp();
+  });
+  ProxyOptions options = Options();
+  options.request_body_bytes = std::int64_t{1} << 62U;
+  ProxyFixture proxy({.endpoint_ports = {endpoint.port()}, .options = options});
+  constexpr std::string_view kLength = "Content-Length: 2000000";
+  std::string request = UploadHead(2'000'000);
+  request.replace(request.find(kLength), kLength.size(),
+                  "Transfer-Encoding: chunked");
+  // 2,000,000 bytes.
+  request += "1e8480\r\n" + std::string(2'000'000, 'c') + "\r\n0\r\n\r\n";
+  CHECK(StatusOf(proxy.Ask(request)) == 200);
+}
+
 // Guards against memory that is not given back: by callers that leave in the
 // middle, by a refusal, by a time-out, by a complete call and its answer.
 TEST_CASE("what messages hold is given back on every path") {
@@ -158,6 +178,20 @@
   CHECK(Eventually(is_empty));
 }
 
+// Guards against a body that is held twice: at its last part, whose framing
+// counts as well, or at a size between.
+TEST_CASE("a body of the largest size is copied while it is small only") {
+  constexpr std::size_t kMaxBytes = 16 << 20;
+  std::string body(2 << 20, 'a');
+  detail::ReserveCapacity(body, body.size() + 1000, kMaxBytes);
+  CHECK(body.capacity() >= kMaxBytes);
+  body.resize(kMaxBytes - 10);
+  const char* const before = body.data();
+  detail::ReserveCapacity(body, kMaxBytes + 1000, kMaxBytes);
+  CHECK(body.data() == before);
+  CHECK(body.capacity() < kMaxBytes + 1000);
+}
+
 // Guards against an endpoint's answer that is read although there is no memory
 // for it: it waits in the kernel until there is.
 TEST_CASE("an answer with a length waits for room") {
