Input that waits in the kernel is no pause; idle connections hold little

Found on reading the change: after a process has been suspended, each caller that is sending looks as if it had paused, and could be ended in favour of another although its bytes had arrived. And an idle connection kept 16 KiB of the budget, a connection to an endpoint from its first answer on.

Change: a caller has paused only if the kernel has no input of it either. Heads are read in pieces of 4 KiB, and an idle connection keeps 4 KiB at most.

--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t kReadChunk = 4096;
+constexpr std::size_t kLingerChunk = 4096;
 // Limit on the head of a request, whatever limit is published.
 constexpr std::int64_t kMaxHeadBytes = 16 << 20;
 // A request that pauses for longer may be cut off when memory is short.
@@ -285,7 +285,7 @@
     if (partial) {
       co_return partial;
     }
-    const ReadEnd more = co_await ReadMore(socket_, buf_, kReadChunk);
+    const ReadEnd more = co_await ReadMore(socket_, buf_, kHeadPieceBytes);
     if (more.ec == boost::system::errc::not_enough_memory) {
       co_return MakeFailure(FailureKind::kMemoryShort);
     }
@@ -420,9 +420,13 @@
   co_return co_await Begin(parser.release(), std::move(memory));
 }
 
-bool CallerSession::IsReadStalled(TimePoint now) const {
+// Input that waits in the kernel is no pause of the caller: this process may
+// have been suspended.
+bool CallerSession::IsReadStalled(TimePoint now) {
+  boost::system::error_code ec;
   return is_reading_ && !has_read_ && !is_writing_ && !HasReadEnded() &&
-         reading_.bytes() >= kMinCutBytes && now - last_input() >= kStallTime;
+         reading_.bytes() >= kMinCutBytes && now - last_input() >= kStallTime &&
+         socket_.available(ec) == 0;
 }
 
 bool CallerSession::CutOtherRead() {
@@ -606,7 +610,7 @@
   socket_.shutdown(Tcp::socket::shutdown_send, ec);
   // Closing a socket with unread bytes makes the kernel send a reset, which can
   // discard the answer in the caller's receive buffer.
-  std::array<char, kReadChunk> rest{};
+  std::array<char, kLingerChunk> rest{};
   ArmTimer(
       std::min(kMaxLinger, state_.stop_schedule().TimeToClose(Clock::now())));
   while (!ec && !lost_ && !timed_out_) {
--- a/proxy/caller_session.h
+++ b/proxy/caller_session.h
@@ -73,7 +73,7 @@
   bool CutOtherRead();
   // Whether the caller has paused while it sends a request that holds much
   // memory.
-  bool IsReadStalled(TimePoint now) const;
+  bool IsReadStalled(TimePoint now);
   // Whether the time to read a request is over.
   bool HasReadEnded() const { return timed_out_ || is_cut_; }
   // Ends the reading of a request as a timeout does.
--- a/proxy/endpoint_exchange.cc
+++ b/proxy/endpoint_exchange.cc
@@ -287,7 +287,8 @@
     if (buf.size() > limits_.answer_header_bytes) {
       co_return false;
     }
-    const ReadEnd more = co_await ReadMore(connection_->socket(), buf);
+    const ReadEnd more =
+        co_await ReadMore(connection_->socket(), buf, kHeadPieceBytes);
     bytes_ += more.bytes;
     if (more.ec) {
       co_return false;
--- a/proxy/message_reader.h
+++ b/proxy/message_reader.h
@@ -28,13 +28,15 @@
   { room.Take(memory, n) } -> std::same_as<asio::awaitable<bool>>;
 };
 
+// Bytes that one read of a head may take from the connection.
+inline constexpr std::size_t kHeadPieceBytes = 4U << 10U;
 // Memory that the fields of a head take, for each byte of the head.
 inline constexpr std::size_t kMemoryPerHeadByte = 2;
 
 namespace detail {
 
-// Bytes that one read may take from the connection.
-inline constexpr std::size_t kReadPieceBytes = 16U << 10U;
+// Bytes that one read of a body may take from the connection.
+inline constexpr std::size_t kBodyPieceBytes = 16U << 10U;
 // A body beyond this size gets the capacity of the largest one at once: pages
 // that are not written to take no memory, and growing by copies would hold a
 // body twice.
@@ -59,10 +61,9 @@
 
 // Reads once from `socket`, at most `max_bytes`. Ends with not_enough_memory if
 // the budget is used up, and with buffer_overflow if the buffer is full.
-inline asio::awaitable<ReadEnd> ReadMore(
-    Tcp::socket& socket,
-    MeteredBuffer& buf,
-    std::size_t max_bytes = detail::kReadPieceBytes) {
+inline asio::awaitable<ReadEnd> ReadMore(Tcp::socket& socket,
+                                         MeteredBuffer& buf,
+                                         std::size_t max_bytes) {
   ReadEnd end;
   const asio::mutable_buffer room = buf.Prepare(max_bytes);
   if (room.size() == 0) {
@@ -126,7 +127,8 @@
         break;
       }
     }
-    const ReadEnd more = co_await ReadMore(socket, buf);
+    const ReadEnd more =
+        co_await ReadMore(socket, buf, detail::kBodyPieceBytes);
     end.bytes += more.bytes;
     if (more.ec == asio::error::eof) {
       parser.put_eof(end.ec);
--- a/proxy/metered_buffer.cc
+++ b/proxy/metered_buffer.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxIdleBytes = 16U << 10U;
+constexpr std::size_t kMaxIdleBytes = 4U << 10U;
 
 }  // namespace
 
