Silent connections no longer keep ordinary callers out until they time out

Seen by others on: past about 3,000 connections that say nothing a host answers every ordinary caller 503.

Cause: a connection on which nothing arrives keeps its place for the idle timeout (15 s on the deployments), whoever else comes.

Change: each connection that is refused for the limit closes the one that has been silent for longest since it was opened, for a second at least. Connections that have brought a request keep their place.

--- a/proxy/caller_server.cc
+++ b/proxy/caller_server.cc
@@ -108,6 +108,11 @@
   socket.set_option(Tcp::no_delay(true), ec);
   std::atomic<std::int64_t>& open = state_.counters().connections();
   const bool is_full = open >= state_.options().connections;
+  if (is_full) {
+    // So that the caller finds room when it comes back.
+    loop.poster()->Post(
+        [&loop] { CallerSession::CloseSilent(loop, Clock::now()); });
+  }
   if (is_full && *refusals_ >= kMaxConcurrentRefusals) {
     return;
   }
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -21,6 +21,9 @@
 constexpr Duration kStallTime = std::chrono::milliseconds(500);
 // A request that holds less is not worth cutting off.
 constexpr std::size_t kMinCutBytes = 16U << 10U;
+// A connection on which nothing has arrived for longer may be closed in favour
+// of others.
+constexpr Duration kMinSilentTime = std::chrono::seconds(1);
 // Longer than peers keep idle connections, so that they close them first.
 constexpr Duration kPeerIdleTimeout = std::chrono::minutes(15);
 constexpr Duration kMaxLinger = std::chrono::seconds(1);
@@ -405,6 +408,7 @@
     co_return false;
   }
   Parser parser;
+  has_received_ = true;
   is_reading_ = true;
   reading_ = MemoryAccount(&state_.memory(), MemoryBudget::Source::kRequest);
   std::optional<Failure> failure = co_await ReadRequest(parser);
@@ -429,6 +433,23 @@
          socket_.available(ec) == 0;
 }
 
+void CallerSession::CloseSilent(ProxyLoop& loop, TimePoint now) {
+  CallerSession* longest = nullptr;
+  for (CallerSession* it : loop.sessions()) {
+    const bool is_longer =
+        longest == nullptr || it->last_input() < longest->last_input();
+    if (it->is_idle_ && !it->has_received_ && is_longer &&
+        now - it->last_input() >= kMinSilentTime) {
+      longest = it;
+    }
+  }
+  if (longest != nullptr) {
+    boost::system::error_code ec;
+    longest->lost_ = true;
+    longest->socket_.cancel(ec);
+  }
+}
+
 bool CallerSession::CutOtherRead() {
   const TimePoint now = Clock::now();
   CallerSession* longest = nullptr;
--- a/proxy/caller_session.h
+++ b/proxy/caller_session.h
@@ -29,6 +29,9 @@
   asio::awaitable<void> Run();
   // Answers a connection over the connection limit with 503 and closes it.
   asio::awaitable<void> RunRefusal();
+  // Closes the connection of the loop that has been open for longest without
+  // any request, if there is one.
+  static void CloseSilent(ProxyLoop& loop, TimePoint now);
   // Called when the time is known at which the daemon aborts calls: limits the
   // time to read and to write accordingly.
   void OnStopAnnounced();
@@ -128,6 +131,8 @@
   // What the request that is being read holds.
   MemoryAccount reading_;
   bool awaits_request_ = false;
+  // Something has arrived on the connection.
+  bool has_received_ = false;
   // A request has begun to arrive but is not in `pending_` yet.
   bool is_reading_ = false;
   // This request is complete and waits for earlier ones.
--- a/tests/crowd/crowd_host.cc
+++ b/tests/crowd/crowd_host.cc
@@ -18,7 +18,6 @@
 constexpr auto kCallHeader = "X-Damasktack-Request-Id: ";
 // Longer than any test takes, so that no timeout gives back what a crowd holds.
 constexpr int kCallerTimeoutMs = 120'000;
-constexpr int kCallerConnections = 100;
 constexpr Duration kMaxStartTime = std::chrono::minutes(1);
 constexpr Duration kPollInterval = std::chrono::milliseconds(20);
 
--- a/tests/crowd/crowd_host.h
+++ b/tests/crowd/crowd_host.h
@@ -23,6 +23,8 @@
   // Memory and descriptors of the machine that the daemon runs on.
   static constexpr std::size_t kMachineBytes = 64 << 20;
   static constexpr std::size_t kMachineDescriptors = 300;
+  // Limit on connections of callers.
+  static constexpr std::size_t kCallerConnections = 100;
   // Published limit on the body of a request.
   static constexpr std::size_t kMaxBodyBytes = 8 << 20;
 
--- a/tests/crowd/test_crowds.cc
+++ b/tests/crowd/test_crowds.cc
@@ -197,6 +197,24 @@
   CrowdCheck().Play({.message = InChunks(kSmallChunkBytes, kBodyBytes)});
 }
 
+// Guards against connections without a request that keep ordinary callers out
+// until their idle timeout.
+TEST_CASE("a host outlives more silent connections than it accepts") {
+  CrowdHost host;
+  Crowd crowd({.port = host.callers(),
+               .clients = CrowdHost::kCallerConnections + 20,
+               .whole_each = 0,
+               .message = [part = MakePart("")](std::size_t /*client*/) {
+                 return CrowdMessage{"G", part, 0, ""};
+               }});
+  crowd.Run([] {});
+  CHECK(StatusCodeOf(AskInCalm(host, RequestHead("GET", "/read/x", "c"))) ==
+        200);
+  CHECK(host.IsRunning());
+  CHECK(host.PeakBytes() <= CrowdHost::kMachineBytes);
+  CHECK(host.OpenDescriptors() <= CrowdHost::kMachineDescriptors);
+}
+
 // Guards against large bodies at the port for relayed calls, which strangers
 // may reach too.
 TEST_CASE("a host outlives a crowd at its port for relayed calls") {
