The endpoint of the tests of returns has a thread for each connection

Cause: cpp-httplib gives an idle connection a thread, the endpoint had eight, and requests and probes waited for one.

Change: 64 threads, as the store's and the soak's stand-ins have. The checks are as they were.

--- a/tests/main/test_store_return.cc
+++ b/tests/main/test_store_return.cc
@@ -25,10 +25,14 @@
 constexpr Duration kSettleTime = seconds(3);
 constexpr int kLostChanges = 200;
 
+constexpr std::size_t kThreads = 64;
+
 // An endpoint that counts the requests that reach it.
 class CountingEndpoint {
  public:
   CountingEndpoint() {
+    // An idle connection occupies a thread.
+    server_.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
     server_.Get("/health", [](const httplib::Request&, httplib::Response& res) {
       res.set_header("X-Damasktack-Server-Load", "0,0,4,100");
     });
