--- a/tests/proxy/test_memory_limits.cc
+++ b/tests/proxy/test_memory_limits.cc
@@ -56,6 +56,13 @@
   return true;
 }
 
+// Serves one request of a connection.
+void RunOnce(RawConnection& it) {
+  it.ReadMessage();
+  it.Send(OkAnswer("ran"));
+  it.WaitForHangUp();
+}
+
 // Begins a request that takes the room of all large ones.
 RawConnection BeginUpload(ProxyFixture& proxy) {
   RawConnection caller = proxy.Connect();
@@ -83,11 +90,7 @@
 
 // Guards against large requests that keep small ones out.
 TEST_CASE("a small request is served while large ones take all their room") {
-  const RawEndpoint endpoint([](RawConnection& it) {
-    it.ReadMessage();
-    it.Send(OkAnswer("ran"));
-    it.WaitForHangUp();
-  });
+  const RawEndpoint endpoint(RunOnce);
   ProxyFixture proxy(
       {.endpoint_ports = {endpoint.port()}, .options = Options()});
   const RawConnection upload = BeginUpload(proxy);
@@ -97,11 +100,7 @@
 // Guards against callers that stop sending and keep others out until their time
 // is over.
 TEST_CASE("a request that has stalled makes room for another") {
-  const RawEndpoint endpoint([](RawConnection& it) {
-    it.ReadMessage();
-    it.Send(OkAnswer("ran"));
-    it.WaitForHangUp();
-  });
+  const RawEndpoint endpoint(RunOnce);
   ProxyFixture proxy(
       {.endpoint_ports = {endpoint.port()}, .options = Options()});
   RawConnection stalled = BeginUpload(proxy);
@@ -123,11 +122,7 @@
 
 // Guards against a published limit that no memory could hold.
 TEST_CASE("a limit on bodies beyond any memory refuses no request in chunks") {
-  const RawEndpoint endpoint([](RawConnection& it) {
-    it.ReadMessage();
-    it.Send(OkAnswer("ran"));
-    it.WaitForHangUp();
-  });
+  const RawEndpoint endpoint(RunOnce);
   ProxyOptions options = Options();
   options.request_body_bytes = std::int64_t{1} << 62U;
   ProxyFixture proxy({.endpoint_ports = {endpoint.port()}, .options = options});
