MeteredBuffer: remove an accessor without a caller

Found on the last reading of the change: capacity() lost its only caller when Shrink took its place. The daemon builds without it and crowd_tests pass, 13 of 13; proxy_tests were not rebuilt to the end (no test names the accessor).

--- a/proxy/metered_buffer.h
+++ b/proxy/metered_buffer.h
@@ -19,7 +19,6 @@
   void SetMaxBytes(std::size_t bytes) { buf_.max_size(bytes); }
 
   std::size_t size() const { return buf_.size(); }
-  std::size_t capacity() const { return buf_.capacity(); }
   std::string_view text() const;
   asio::const_buffer data() const { return buf_.data(); }
 
